--- /dev/null
+++ b/src/main/java/spurroad/Balance.java
@@ -0,0 +1,1008 @@
+package spurroad;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Random;
+import java.util.Set;
+import java.util.TreeSet;
+import spurroad.model.CacheKey;
+import spurroad.model.CacheNote;
+import spurroad.model.CustomerId;
+import spurroad.model.Decisions;
+import spurroad.model.DedupScope;
+import spurroad.model.Deployment;
+import spurroad.model.Effect;
+import spurroad.model.LoadReport;
+import spurroad.model.NodeEntry;
+import spurroad.model.NodeId;
+import spurroad.model.Outcome;
+import spurroad.model.Phase;
+import spurroad.model.QueryId;
+import spurroad.model.Track;
+import spurroad.model.TrackId;
+
+/**
+ * All decisions of one proxy. The host makes one instance per proxy from the start figures and a seed, calls it
+ * from one thread, once for each thing that happens, with the time of that thing, and carries out what the
+ * call put into {@link Decisions}; it calls {@link #reached} at {@code wakeNs}. The interface is the public
+ * methods below with the types of {@code spurroad.model}; the mechanism is told in docs/design.md.
+ */
+public final class Balance {
+    // Candidates of a key: the design's figure.
+    private static final int CANDIDATES = 3;
+    // Ring points of a node of mean weight: shares then differ by about a tenth, and a walk stays short.
+    private static final int POINTS = 96;
+    // ns; a reported figure counts while younger: the design asks for under a second.
+    private static final long FRESH_NS = 900_000_000L;
+    // ns; the wait for probes starts here, the design's figure.
+    private static final long PROBE_WAIT_NS = 20_000_000L;
+    // times the mean probe round trip: the wait where the network is not one fast one.
+    private static final double PROBE_TRIPS = 1.5;
+    // share of the shortest SLO time: no probe wait is longer, whatever the round trips.
+    private static final double PROBE_WAIT_SHARE = 0.05;
+    // queries; the soft limit is never lower, the design's figure.
+    private static final double LEAST_LIMIT = 2;
+    // share of the track's SLO time: the queueing a cache node may show before other candidates are asked.
+    private static final double WAIT_SHARE = 0.25;
+    // share of the SLO time: what the origin's queue may take before queries are kept here.
+    private static final double ORIGIN_SHARE = 0.5;
+    // queries; before any are seen a node counts as having completed this many at an even pace.
+    private static final double PRIOR = 2;
+    // ns; how far back pace and health are remembered: some tens of queries at a node.
+    private static final long MEMORY_NS = 4_000_000_000L;
+    // ns; how far back a customer's rate is remembered.
+    private static final long RATE_NS = 2_000_000_000L;
+    // bad ends, and their share above twice that of the better nodes, that set a node aside.
+    private static final double BAD_ENDS = 1.5;
+    private static final double BAD_SHARE = 0.3;
+    // ns; first and longest pause of a node set aside; doubled while it goes badly.
+    private static final long PAUSE_NS = 500_000_000L;
+    private static final long LONGEST_PAUSE_NS = 4_000_000_000L;
+    // queries; a trickle that has doubled beyond this is an ordinary flow again.
+    private static final int TRICKLE_END = 8;
+    // times the mean time of a completed query: silence of a node that is out of the ordinary.
+    private static final double SILENCE = 4;
+    // shares of the shortest SLO time: bounds of that silence, so that another try can still be in time.
+    private static final double LEAST_SILENCE = 0.15;
+    private static final double MOST_SILENCE = 0.4;
+    // ns; how often silence is looked for while executions are out.
+    private static final long SWEEP_NS = 50_000_000L;
+    // further executions allowed for each first one, and how many may be saved up.
+    private static final double FURTHER = 0.2;
+    private static final double FURTHER_MOST = 20;
+    // share of the soft limit that queries beyond a customer's share may fill.
+    private static final double BEYOND_SHARE = 0.5;
+    // share of the SLO time after which a rejected client is asked back.
+    private static final double COME_BACK = 0.5;
+    // ns; first and longest pause before subscribing to the list again.
+    private static final long FOLLOW_NS = 500_000_000L;
+    private static final long LONGEST_FOLLOW_NS = 8_000_000_000L;
+
+    private enum Hold { NONE, PROBES, ORIGIN, FETCH, PAUSE }
+
+    /** A sum that loses its weight evenly with time, brought up to date when read. */
+    private static final class Decaying {
+        private final double memory;
+        private double sum;
+        private long at;
+
+        private Decaying(long memoryNs) {
+            memory = memoryNs;
+        }
+
+        private double read(long now) {
+            if (now > at) {
+                sum *= Math.exp((at - now) / memory);
+                at = now;
+            }
+            return sum;
+        }
+
+        private void add(long now, double amount) {
+            sum = read(now) + amount;
+        }
+    }
+
+    private static final class Node {
+        private NodeEntry entry;
+        private double reported = Double.NaN;
+        private long reportedAt = Long.MIN_VALUE / 2;
+        private int sentSince;
+        private double busy = Double.NaN;
+        private boolean probing;
+        private long lastAnswerAt;
+        private final List<Exec> out = new ArrayList<>();
+        // pace, by whether the figure at the start was the stand-in (0) or reported (1): times and figures
+        private final Decaying[] took = {new Decaying(MEMORY_NS), new Decaying(MEMORY_NS)};
+        private final Decaying[] depth = {new Decaying(MEMORY_NS), new Decaying(MEMORY_NS)};
+        private Decaying good = new Decaying(MEMORY_NS);
+        private Decaying bad = new Decaying(MEMORY_NS);
+        private final Decaying sent;
+        private long asideUntil;
+        private boolean proven = true;
+        private long pause = PAUSE_NS;
+        private int trickle, trickleLeft, trickleGood;
+
+        private Node(NodeEntry entry, long rateNs) {
+            this.entry = entry;
+            sent = new Decaying(rateNs);
+        }
+    }
+
+    private static final class Exec {
+        private final Qry qry;
+        private final Node node;
+        private final int number;
+        private final long sentAt;
+        private final int scope;
+        private final double depth;
+        private boolean out = true;
+        private boolean stopped;
+
+        private Exec(Qry qry, Node node, long sentAt, int scope, double depth) {
+            this.qry = qry;
+            this.node = node;
+            this.number = qry.execs.size();
+            this.sentAt = sentAt;
+            this.scope = scope;
+            this.depth = depth;
+        }
+    }
+
+    private static final class Qry {
+        private QueryId id;
+        private TrackFigures track;
+        private CacheKey key;
+        private long order, point, sloAt, endAt;
+        private boolean beyondShare, write, missed, pausedForFetch, served, done;
+        private final List<Exec> execs = new ArrayList<>(2);
+        private int out;
+        private Exec mayHaveRun;
+        private Hold hold = Hold.NONE;
+        private int holds;
+        private List<Node> candidates = List.of();
+        private final Set<Node> asked = new HashSet<>(4);
+        private final Set<Node> answered = new HashSet<>(4);
+        private final List<Node> avoid = new ArrayList<>(2);
+        private Node target;
+    }
+
+    /** What decisions need of a track. */
+    private record TrackFigures(Effect effect, DedupScope scope, long windowNs, long sloNs, double sloStretch,
+                                double importance, boolean lateCounts, double waitNs, double originNs) { }
+
+    private record Due(long at, long order, Qry qry, int hold) { }
+
+    private record Point(long at, Node node) { }
+
+    private record ExecId(QueryId query, int number) { }
+
+    /** A link of the chain: queries pass forward, ended executions come back. */
+    private abstract static class Stage {
+        Stage next, previous;
+
+        abstract void pass(Qry q);
+
+        void back(Qry q, Exec e, Outcome outcome, CacheNote note) {
+            previous.back(q, e, outcome, note);
+        }
+    }
+
+    private final Random random;
+    private final TrackFigures[] tracks;
+    private final double[] customerPace;
+    private final Decaying[] customerSent;
+    private final Object originKind;
+    private final boolean mustAsk, weighted, probes, cancels, secondCopies, comeBack;
+    private final long maxComeBackNs, coldNs, fallNs, tickNs, shortestSloNs;
+    private final int mostExecutions;
+    private final double startCapacity;
+
+    private final Stage first;
+    private final Choice choice;
+    private final Fetch fetch;
+    private final Sending sending;
+    private final Map<NodeId, Node> nodes = new LinkedHashMap<>();
+    private Point[] ring = {};
+    private Node origin;
+    private final Map<QueryId, Qry> queries = new HashMap<>();
+    private final Map<ExecId, Exec> outs = new HashMap<>();
+    private final PriorityQueue<Due> agenda =
+        new PriorityQueue<>(Comparator.comparingLong(Due::at).thenComparingLong(Due::order));
+    private final TreeSet<Qry> waiting;
+    private final Decaying[] allTook = {new Decaying(MEMORY_NS), new Decaying(MEMORY_NS)};
+    private final Decaying[] allDepth = {new Decaying(MEMORY_NS), new Decaying(MEMORY_NS)};
+    private final Decaying allEnds = new Decaying(MEMORY_NS);
+    private final Decaying allTimes = new Decaying(MEMORY_NS);
+    private final Decaying probeEnds = new Decaying(MEMORY_NS);
+    private final Decaying probeTimes = new Decaying(MEMORY_NS);
+    private final List<Qry> probingQueries = new ArrayList<>();
+    private double further = FURTHER_MOST;
+    private long followPause = FOLLOW_NS, followAt = Long.MAX_VALUE, sweepAt = Long.MAX_VALUE;
+    private boolean following;
+    private long order, now;
+    private Decisions decisions;
+
+    public Balance(Deployment start, long seed) {
+        random = new Random(seed);
+        tracks = start.tracks().stream().map(Balance::figures).toArray(TrackFigures[]::new);
+        shortestSloNs = start.tracks().stream().mapToLong(Track::sloNs).min().orElse(FRESH_NS);
+        customerPace = start.allowancePerS().stream().mapToDouble(a -> a / start.proxies()).toArray();
+        customerSent = new Decaying[customerPace.length];
+        Arrays.setAll(customerSent, i -> new Decaying(RATE_NS));
+        originKind = start.originKind();
+        mustAsk = start.mustAsk();
+        weighted = start.weighted();
+        probes = start.probes();
+        cancels = start.cancels();
+        secondCopies = start.secondCopies();
+        comeBack = start.comeBack();
+        maxComeBackNs = start.maxComeBackNs();
+        mostExecutions = start.mostExecutions();
+        startCapacity = start.startCapacity();
+        coldNs = start.coldNs();
+        fallNs = Math.max(start.fallNs(), SWEEP_NS);
+        tickNs = start.tickNs();
+        waiting = new TreeSet<>(Comparator.comparing((Qry q) -> q.beyondShare)
+            .thenComparing(q -> -q.track.importance).thenComparing(q -> !q.write)
+            .thenComparing(q -> q.order));
+        first = new Entry();
+        fetch = new Fetch();
+        choice = new Choice();
+        sending = new Sending();
+        Stage[] chain = {first, fetch, choice, sending};
+        for (int i = 0; i + 1 < chain.length; i++) {
+            chain[i].next = chain[i + 1];
+            chain[i + 1].previous = chain[i];
+        }
+    }
+
+    private static TrackFigures figures(Track t) {
+        return new TrackFigures(t.effect(), t.dedupScope(), t.dedupWindowNs(), t.sloNs(), t.sloStretch(),
+            t.importance(), t.lateShare() > 0, WAIT_SHARE * t.sloNs(), ORIGIN_SHARE * t.sloNs());
+    }
+
+    // ---- what happens
+
+    /** The list came, whole or as changes. */
+    public void listed(long at, List<NodeEntry> entries, boolean complete, Decisions into) {
+        begin(at, into);
+        Set<NodeId> named = new HashSet<>();
+        for (NodeEntry e : entries) {
+            named.add(e.id());
+            Node n = nodes.get(e.id());
+            if (n == null || n.entry.startedNs() != e.startedNs()) {
+                Node fresh = new Node(e, fallNs);
+                if (n != null) {
+                    fresh.out.addAll(n.out);
+                }
+                nodes.put(e.id(), fresh);
+                n = fresh;
+            }
+            n.entry = e;
+        }
+        for (Node n : nodes.values()) {
+            if (complete && !named.contains(n.entry.id())) {
+                NodeEntry e = n.entry;
+                n.entry = new NodeEntry(e.id(), e.kind(), e.zone(), e.cell(), e.startedNs(), e.weight(), Phase.GONE);
+            }
+        }
+        buildRing();
+        if (mustAsk && !following) {
+            into.follow = true;
+            following = true;
+        } else {
+            followPause = FOLLOW_NS;
+        }
+        finish();
+    }
+
+    /** A call to the list failed or its subscription ended: ask again after a growing pause. */
+    public void listFailed(long at, Decisions into) {
+        begin(at, into);
+        if (mustAsk) {
+            followAt = now + followPause / 2 + (long) (random.nextDouble() * followPause);
+            followPause = Math.min(LONGEST_FOLLOW_NS, 2 * followPause);
+        }
+        finish();
+    }
+
+    /** A query came in; workNs is a rough hint of its cost or zero. */
+    public void arrived(long at, QueryId id, TrackId track, CustomerId customer, CacheKey key, boolean write,
+                        boolean retry, long workNs, long budgetNs, Decisions into) {
+        begin(at, into);
+        Qry q = new Qry();
+        q.id = id;
+        q.track = tracks[Math.min(track.value(), tracks.length - 1)];
+        q.key = key;
+        q.order = order++;
+        q.point = key.value() == 0 ? random.nextLong() : mix(key.value());
+        q.write = write;
+        q.endAt = now + budgetNs;
+        q.sloAt = Math.min(q.endAt, now + q.track.sloNs + (long) (q.track.sloStretch * workNs));
+        int c = customer.value();
+        if (c >= 0 && c < customerPace.length) {
+            customerSent[c].add(now, 1);
+            double pace = customerSent[c].read(now) * 1e9 / RATE_NS;
+            q.beyondShare = pace > customerPace[c] && random.nextDouble() > customerPace[c] / pace;
+        }
+        queries.put(id, q);
+        further = Math.min(FURTHER_MOST, further + FURTHER);
+        first.pass(q);
+        finish();
+    }
+
+    /** An execution ended. */
+    public void ended(long at, QueryId id, int execution, Outcome outcome, CacheNote note, long tookNs,
+                      LoadReport load, boolean last, Decisions into) {
+        begin(at, into);
+        Exec e = outs.remove(new ExecId(id, execution));
+        if (e != null) {
+            if (last) {
+                close(e.qry);
+            }
+            learn(e.node, load);
+            sending.back(e.qry, e, outcome, note);
+        }
+        finish();
+    }
+
+    /** A probe was answered or failed. */
+    public void probed(long at, NodeId id, Outcome outcome, long tookNs, LoadReport load, Decisions into) {
+        begin(at, into);
+        Node n = nodes.get(id);
+        if (n != null) {
+            n.probing = false;
+            boolean answered = outcome == Outcome.COMPLETED;
+            if (answered) {
+                probeEnds.add(now, 1);
+                probeTimes.add(now, tookNs);
+                learn(n, load);
+                n.proven = true;
+            } else if (now >= n.asideUntil && !n.proven) {
+                n.asideUntil = now + n.pause;
+            }
+            for (Qry q : List.copyOf(probingQueries)) {
+                choice.heard(q, n, answered);
+            }
+        }
+        finish();
+    }
+
+    /** The client left; no answer is owed. */
+    public void left(long at, QueryId id, Decisions into) {
+        begin(at, into);
+        Qry q = queries.get(id);
+        if (q != null) {
+            stopAll(q);
+            close(q);
+        }
+        finish();
+    }
+
+    /** The time asked for was reached. */
+    public void reached(long at, Decisions into) {
+        begin(at, into);
+        finish();
+    }
+
+    private void begin(long at, Decisions into) {
+        now = at;
+        decisions = into;
+    }
+
+    private void finish() {
+        while (!agenda.isEmpty() && agenda.peek().at <= now) {
+            Due due = agenda.poll();
+            if (!due.qry.done && due.qry.holds == due.hold && due.qry.hold != Hold.NONE) {
+                heldLongEnough(due.qry);
+            }
+        }
+        if (followAt <= now) {
+            followAt = Long.MAX_VALUE;
+            decisions.follow = true;
+        }
+        if (sweepAt <= now) {
+            sweepAt = Long.MAX_VALUE;
+            sweep();
+        }
+        fetch.pump();
+        if (sweepAt == Long.MAX_VALUE && !outs.isEmpty()) {
+            sweepAt = now + SWEEP_NS;
+        }
+        long wake = Math.min(followAt, sweepAt);
+        decisions.wakeNs = agenda.isEmpty() ? wake : Math.min(wake, agenda.peek().at);
+    }
+
+    // ---- stages
+
+    /** Takes a query in and owes its final answer. */
+    private final class Entry extends Stage {
+        @Override
+        void pass(Qry q) {
+            if (q.endAt <= now + tickNs) {
+                giveUp(q);
+            } else {
+                next.pass(q);
+            }
+        }
+
+        @Override
+        void back(Qry q, Exec e, Outcome outcome, CacheNote note) {
+            if (q.out > 0) {
+                return;
+            }
+            boolean unseen = outcome.provesNotRun();
+            boolean inTime = now + tickNs < (q.track.lateCounts ? q.endAt : q.sloAt);
+            if (outcome == Outcome.NEVER_SENT || !inTime || !mayRunAgain(q) || !unseen && further < 1) {
+                giveUp(q);
+                return;
+            }
+            further -= unseen ? 0 : 1;
+            pass(q);
+        }
+    }
+
+    /** Brings misses and writes to the origin, one fetch a key, as many at once as it is seen to bear. */
+    private final class Fetch extends Stage {
+        private final Map<CacheKey, Qry> leaders = new HashMap<>();
+        private final Map<Qry, List<Qry>> followers = new HashMap<>();
+
+        @Override
+        void pass(Qry q) {
+            if (originKind == null || !q.write && !q.missed) {
+                next.pass(q);
+                return;
+            }
+            Qry leader = q.write || q.key.value() == 0 ? null : leaders.putIfAbsent(q.key, q);
+            if (leader != null && leader != q) {
+                followers.computeIfAbsent(leader, k -> new ArrayList<>()).add(q);
+                hold(q, Hold.FETCH, q.sloAt);
+            } else if (origin == null || expected(origin, waiting.headSet(q).size()) > q.sloAt - now) {
+                giveUp(q);
+            } else {
+                waiting.add(q);
+                hold(q, Hold.ORIGIN, q.sloAt);
+            }
+        }
+
+        private void pump() {
+            while (!waiting.isEmpty() && origin != null
+                && origin.out.size() < limit(origin, waiting.first().track.originNs)) {
+                Qry q = waiting.pollFirst();
+                release(q);
+                q.target = origin;
+                sending.pass(q);
+            }
+        }
+
+        @Override
+        void back(Qry q, Exec e, Outcome outcome, CacheNote note) {
+            if (outcome == Outcome.MISS && origin != null && e.node != origin) {
+                boolean elsewhere = note == CacheNote.FETCH_OUT && !q.pausedForFetch;
+                q.pausedForFetch |= elsewhere;
+                q.missed = !elsewhere;
+                if (elsewhere) {
+                    // another proxy fetches this key already: wait one fetch and look again
+                    hold(q, Hold.PAUSE, Math.min(q.sloAt, now + (long) expected(origin, 0)));
+                } else {
+                    pass(q);
+                }
+                return;
+            }
+            previous.back(q, e, outcome, note);
+        }
+
+        /** The fetch of a key is over: those who waited look at the cache again, or one of them leads. */
+        private void over(Qry q) {
+            waiting.remove(q);
+            leaders.remove(q.key, q);
+            List<Qry> waited = followers.remove(q);
+            for (Qry f : waited == null ? List.<Qry>of() : waited) {
+                if (!f.done && f.hold == Hold.FETCH) {
+                    release(f);
+                    f.missed = !q.served;
+                    first.pass(f);
+                }
+            }
+        }
+    }
+
+    /** The mechanism of the design: soft limit, probes, lowest queue, random. */
+    private final class Choice extends Stage {
+        @Override
+        void pass(Qry q) {
+            List<Node> c = candidates(q);
+            if (c.isEmpty()) {
+                giveUp(q);
+                return;
+            }
+            Node local = c.get(0);
+            boolean under = figure(local) < limit(local, q.track.waitNs);
+            if (under || c.size() == 1 || !probes) {
+                if (!fresh(local) && !Double.isNaN(local.reported)) {
+                    probe(local);
+                }
+                to(q, under || c.size() == 1 ? local : lowest(c));
+                return;
+            }
+            q.candidates = c;
+            q.asked.clear();
+            q.answered.clear();
+            for (Node n : c.subList(1, c.size())) {
+                q.asked.add(n);
+                probe(n);
+            }
+            probingQueries.add(q);
+            hold(q, Hold.PROBES, now + probeWait());
+        }
+
+        private void heard(Qry q, Node n, boolean answered) {
+            if (q.hold != Hold.PROBES || !q.asked.remove(n)) {
+                return;
+            }
+            if (answered) {
+                q.answered.add(n);
+                if (ready(n, q) && figure(n) < limit(n, q.track.waitNs)) {
+                    settle(q, n);
+                    return;
+                }
+            }
+            if (q.asked.isEmpty()) {
+                waited(q);
+            }
+        }
+
+        /** No answer was under the limit: the lowest queue, the silent ones taken at the mean; or chance. */
+        private void waited(Qry q) {
+            List<Node> c = q.candidates.stream().filter(n -> ready(n, q)).toList();
+            if (c.isEmpty()) {
+                settle(q, null);
+            } else if (q.answered.isEmpty()) {
+                settle(q, c.get(random.nextInt(c.size())));
+            } else {
+                settle(q, lowest(c));
+            }
+        }
+
+        private Node lowest(List<Node> c) {
+            return c.stream().min(Comparator.comparingDouble(n -> figure(n) / limit(n, 1))).orElseThrow();
+        }
+
+        private void settle(Qry q, Node n) {
+            release(q);
+            if (n == null) {
+                pass(q);
+            } else {
+                to(q, n);
+            }
+        }
+
+        private void to(Qry q, Node n) {
+            boolean crowded = figure(n) >= BEYOND_SHARE * limit(n, q.track.waitNs);
+            boolean late = expected(n, 0) > q.sloAt - now;
+            if (q.beyondShare && crowded || late && !q.track.lateCounts && q.execs.isEmpty()) {
+                giveUp(q);
+                return;
+            }
+            q.target = n;
+            next.pass(q);
+        }
+    }
+
+    /** Starts executions under the rules of their track, and learns from their ends. */
+    private final class Sending extends Stage {
+        @Override
+        void pass(Qry q) {
+            Node n = q.target;
+            if (!maySend(q, n)) {
+                giveUp(q);
+                return;
+            }
+            int scope = fresh(n) ? 1 : 0;
+            Exec e = new Exec(q, n, now, scope, figure(n));
+            q.execs.add(e);
+            q.out++;
+            n.out.add(e);
+            outs.put(new ExecId(q.id, e.number), e);
+            n.sentSince++;
+            n.sent.add(now, 1);
+            if (n.trickle > 0) {
+                n.trickleLeft--;
+            }
+            long until = q.track.lateCounts || q.write ? q.endAt : q.sloAt;
+            decisions.starts.add(new Decisions.Start(q.id, n.entry.id(), until - now));
+        }
+
+        @Override
+        void back(Qry q, Exec e, Outcome outcome, CacheNote note) {
+            e.out = false;
+            q.out--;
+            e.node.out.remove(e);
+            if (!outcome.provesNotRun() && q.mayHaveRun == null) {
+                q.mayHaveRun = e;
+            }
+            judge(e, outcome, note);
+            q.served |= outcome == Outcome.COMPLETED;
+            if (e.node == origin) {
+                fetch.over(q);
+            }
+            if (!q.done) {
+                if (outcome != Outcome.MISS || origin == null) {
+                    q.avoid.add(e.node);
+                }
+                previous.back(q, e, outcome, note);
+            }
+        }
+    }
+
+    // ---- rules by the kind of track: the only place that says what may be sent or answered
+
+    private boolean maySend(Qry q, Node n) {
+        if (q.execs.size() >= mostExecutions || q.out > 0 && !secondCopies || n.entry.phase() != Phase.READY) {
+            return false;
+        }
+        Exec ran = q.mayHaveRun;
+        for (int i = 0; ran == null && i < q.execs.size(); i++) {
+            ran = q.execs.get(i).out ? q.execs.get(i) : null;
+        }
+        return ran == null || switch (q.track.effect) {
+            case IDEMPOTENT -> true;
+            case NON_IDEMPOTENT -> false;
+            case DEDUPLICATED -> now + tickNs < ran.sentAt + q.track.windowNs && sharesMarks(q, ran.node, n);
+        };
+    }
+
+    private static boolean sharesMarks(Qry q, Node a, Node b) {
+        return switch (q.track.scope) {
+            case ALL -> true;
+            case ZONE -> a.entry.zone().equals(b.entry.zone());
+            case CELL -> a.entry.cell().equals(b.entry.cell());
+        };
+    }
+
+    private boolean mayRunAgain(Qry q) {
+        return q.execs.size() < mostExecutions && (q.mayHaveRun == null || q.track.effect == Effect.IDEMPOTENT
+            || q.track.effect == Effect.DEDUPLICATED && now + tickNs < q.mayHaveRun.sentAt + q.track.windowNs);
+    }
+
+    private boolean mayReject(Qry q) {
+        return q.track.effect == Effect.IDEMPOTENT || q.mayHaveRun == null && q.out == 0
+            || q.track.effect == Effect.DEDUPLICATED && q.track.scope == DedupScope.ALL && q.out == 0
+            && now + tickNs < q.mayHaveRun.sentAt + q.track.windowNs;
+    }
+
+    private void giveUp(Qry q) {
+        boolean reject = mayReject(q);
+        stopAll(q);
+        close(q);
+        long back = comeBack ? (long) (q.track.sloNs * COME_BACK * (0.5 + random.nextDouble())) : 0;
+        decisions.answers.add(new Decisions.Answer(q.id, reject,
+            reject ? Math.min(maxComeBackNs, q.beyondShare ? maxComeBackNs : back) : 0));
+    }
+
+    private void close(Qry q) {
+        if (!q.done) {
+            q.done = true;
+            release(q);
+            queries.remove(q.id);
+            if (q.out == 0 || !q.write) {
+                fetch.over(q);
+            }
+        }
+    }
+
+    private void stopAll(Qry q) {
+        for (Exec e : q.execs) {
+            if (e.out) {
+                stop(e);
+            }
+        }
+    }
+
+    private void stop(Exec e) {
+        if (cancels && !e.stopped) {
+            e.stopped = true;
+            decisions.stops.add(new Decisions.Stop(e.qry.id, e.number));
+        }
+    }
+
+    // ---- holding
+
+    private void hold(Qry q, Hold why, long until) {
+        q.hold = why;
+        q.holds++;
+        agenda.add(new Due(Math.min(until, q.endAt - tickNs), order++, q, q.holds));
+    }
+
+    private void release(Qry q) {
+        if (q.hold == Hold.PROBES) {
+            probingQueries.remove(q);
+        }
+        q.hold = Hold.NONE;
+    }
+
+    private void heldLongEnough(Qry q) {
+        Hold why = q.hold;
+        if (why == Hold.PROBES) {
+            choice.waited(q);
+        } else if (why == Hold.PAUSE && now < q.sloAt) {
+            release(q);
+            first.pass(q);
+        } else {
+            giveUp(q);
+        }
+    }
+
+    // ---- figures
+
+    private boolean fresh(Node n) {
+        return now - n.reportedAt < FRESH_NS && !Double.isNaN(n.reported);
+    }
+
+    /** The queue figure: what was reported plus what was sent since, or what is out from here. */
+    private double figure(Node n) {
+        return fresh(n) ? Math.max(n.reported + n.sentSince, n.out.size()) : n.out.size();
+    }
+
+    /** Time per query in the figure, as completed ones showed it; of the scope of the figure. */
+    private double pace(Node n) {
+        int s = fresh(n) ? 1 : 0;
+        double usual = (allTook[s].read(now) + PRIOR * shortestSloNs * WAIT_SHARE / CANDIDATES)
+            / (allDepth[s].read(now) + PRIOR);
+        return (n.took[s].read(now) + PRIOR * usual) / (n.depth[s].read(now) + PRIOR);
+    }
+
+    private double limit(Node n, double waitNs) {
+        return Math.max(waitNs > 1 ? LEAST_LIMIT : 0, waitNs / pace(n));
+    }
+
+    private double expected(Node n, int ahead) {
+        return pace(n) * (figure(n) + ahead + 1);
+    }
+
+    private long probeWait() {
+        double trip = probeEnds.read(now) < 1 ? 0 : probeTimes.read(now) / probeEnds.read(now);
+        return Math.max(PROBE_WAIT_NS, Math.min((long) (PROBE_TRIPS * trip),
+            (long) (PROBE_WAIT_SHARE * shortestSloNs)));
+    }
+
+    private void probe(Node n) {
+        if (probes && !n.probing) {
+            n.probing = true;
+            decisions.probes.add(n.entry.id());
+        }
+    }
+
+    private void learn(Node n, LoadReport load) {
+        double reported = Double.isNaN(load.inFlight()) ? load.queue() : load.inFlight();
+        if (!Double.isNaN(reported)) {
+            n.reported = Math.max(0, reported);
+            n.reportedAt = now;
+            n.sentSince = 0;
+        }
+        n.busy = load.busy();
+    }
+
+    // ---- health
+
+    private void judge(Exec e, Outcome outcome, CacheNote note) {
+        Node n = e.node;
+        long took = now - e.sentAt;
+        boolean answered = switch (outcome) {
+            case COMPLETED, ERROR, TURNED_AWAY, MISS -> true;
+            default -> false;
+        };
+        if (answered) {
+            n.lastAnswerAt = now;
+        }
+        boolean fetched = originKind == null && (note == CacheNote.MISS || e.qry.write);
+        boolean paced = outcome == Outcome.COMPLETED && !fetched;
+        if (n == origin && (outcome == Outcome.TIMED_OUT || outcome == Outcome.TURNED_AWAY)) {
+            took = Math.max(took, e.qry.track.sloNs);
+            paced = true;
+        }
+        if (paced) {
+            n.took[e.scope].add(now, took);
+            n.depth[e.scope].add(now, e.depth + 1);
+            if (n != origin) {
+                allTook[e.scope].add(now, took);
+                allDepth[e.scope].add(now, e.depth + 1);
+                allEnds.add(now, 1);
+                allTimes.add(now, took);
+            }
+        }
+        if (n == origin || outcome == Outcome.NEVER_SENT || e.stopped && outcome == Outcome.CANCELLED) {
+            return;
+        }
+        boolean late = paced && took > e.qry.track.sloNs;
+        boolean failed = late || outcome == Outcome.ERROR && !fetched || outcome == Outcome.DROPPED
+            || outcome == Outcome.NO_CONNECTION || outcome == Outcome.TIMED_OUT && n.lastAnswerAt < e.sentAt;
+        if (failed) {
+            n.bad.add(now, 1);
+            if (n.trickle > 0 || n.bad.read(now) >= BAD_ENDS && badShare(n) > BAD_SHARE + 2 * usualBadShare()) {
+                setAside(n);
+            }
+        } else if (answered && outcome != Outcome.TURNED_AWAY) {
+            n.good.add(now, 1);
+            if (n.trickle > 0 && ++n.trickleGood >= n.trickle) {
+                n.trickle = n.trickle >= TRICKLE_END ? 0 : 2 * n.trickle;
+                n.trickleLeft = n.trickle;
+                n.trickleGood = 0;
+                n.pause = n.trickle == 0 ? PAUSE_NS : n.pause;
+            }
+        } else if (n.trickle > 0) {
+            n.trickleLeft = Math.max(1, n.trickleLeft);
+        }
+    }
+
+    private double badShare(Node n) {
+        double bad = n.bad.read(now);
+        return bad / Math.max(1e-9, bad + n.good.read(now));
+    }
+
+    /** The bad share of the better nodes: trouble that these have too is no node's own. */
+    private double usualBadShare() {
+        double[] shares = nodes.values().stream().filter(n -> n != origin && n.entry.phase() == Phase.READY)
+            .mapToDouble(this::badShare).sorted().toArray();
+        return shares.length == 0 ? 0 : shares[shares.length / 4];
+    }
+
+    private void setAside(Node n) {
+        n.asideUntil = now + n.pause;
+        n.pause = Math.min(LONGEST_PAUSE_NS, 2 * n.pause);
+        n.proven = !probes;
+        n.trickle = 1;
+        n.trickleLeft = 1;
+        n.trickleGood = 0;
+        n.good = new Decaying(MEMORY_NS);
+        n.bad = new Decaying(MEMORY_NS);
+    }
+
+    private double silence() {
+        double mean = allEnds.read(now) < 1 ? 0 : allTimes.read(now) / allEnds.read(now);
+        return Math.max(LEAST_SILENCE * shortestSloNs, Math.min(SILENCE * mean, MOST_SILENCE * shortestSloNs));
+    }
+
+    private boolean silent(Node n, double patience) {
+        return !n.out.isEmpty() && now - Math.max(n.lastAnswerAt, n.out.get(0).sentAt)
+            > patience * (n.out.size() > 1 ? 1 : 2);
+    }
+
+    /** Nodes that take queries and answer none are set aside, and what may run again goes elsewhere. */
+    private void sweep() {
+        double patience = silence();
+        List<Node> silent = new ArrayList<>();
+        int ready = 0;
+        for (Node n : nodes.values()) {
+            if (n != origin && n.entry.phase() == Phase.READY) {
+                ready++;
+                if (silent(n, patience)) {
+                    silent.add(n);
+                }
+                if (n.trickle > 0 && !n.proven && now >= n.asideUntil) {
+                    probe(n);
+                }
+            }
+        }
+        if (2 * silent.size() > ready) {
+            return;
+        }
+        for (Node n : silent) {
+            if (n.asideUntil <= now) {
+                setAside(n);
+            }
+            for (Exec e : n.out) {
+                if (!e.qry.done && mayMove(e.qry)) {
+                    stop(e);
+                }
+            }
+        }
+    }
+
+    private boolean mayMove(Qry q) {
+        return q.track.effect != Effect.NON_IDEMPOTENT && q.execs.size() < mostExecutions
+            && !(q.write && originKind != null);
+    }
+
+    // ---- candidates
+
+    private boolean ready(Node n, Qry q) {
+        if (n.entry.phase() != Phase.READY || now < n.asideUntil || q.avoid.contains(n)) {
+            return false;
+        }
+        boolean idempotent = q.track.effect == Effect.IDEMPOTENT;
+        if (n.trickle > 0 && (!idempotent || n.trickleLeft <= 0 || !n.proven)) {
+            return false;
+        }
+        return (idempotent || !silent(n, silence() / 2)) && hasRoomWhileCold(n);
+    }
+
+    /** A cold node takes its part of what warm ones get from here, growing with its stated warm-up. */
+    private boolean hasRoomWhileCold(Node n) {
+        long age = now - n.entry.startedNs();
+        if (n.entry.startedNs() == 0 || age >= coldNs) {
+            return true;
+        }
+        double warm = 0, weight = 0;
+        for (Node o : nodes.values()) {
+            if (o != origin && o.entry.phase() == Phase.READY && now - o.entry.startedNs() >= coldNs) {
+                warm += o.sent.read(now);
+                weight += weight(o);
+            }
+        }
+        double share = startCapacity + (1 - startCapacity) * Math.max(0, age) / coldNs;
+        double room = weight == 0 ? 1 : share * warm / weight * weight(n);
+        return n.sent.read(now) < Math.max(1, room);
+    }
+
+    private double weight(Node n) {
+        double w = n.entry.weight();
+        return weighted && w > 0 && w < Double.MAX_VALUE ? w : 1;
+    }
+
+    private List<Node> candidates(Qry q) {
+        List<Node> found = new ArrayList<>(CANDIDATES);
+        walk(q, found, true);
+        if (found.isEmpty()) {
+            walk(q, found, false);
+        }
+        return found;
+    }
+
+    private void walk(Qry q, List<Node> found, boolean onlyReady) {
+        int lo = 0, hi = ring.length;
+        while (lo < hi) {
+            int mid = lo + hi >>> 1;
+            if (ring[mid].at < q.point) {
+                lo = mid + 1;
+            } else {
+                hi = mid;
+            }
+        }
+        for (int i = 0; i < ring.length && found.size() < CANDIDATES; i++) {
+            Node n = ring[(lo + i) % ring.length].node;
+            if (!found.contains(n) && (onlyReady ? ready(n, q) : n.entry.phase() == Phase.READY
+                && hasRoomWhileCold(n) && (q.execs.isEmpty() || maySend(q, n)))) {
+                found.add(n);
+            }
+        }
+    }
+
+    private void buildRing() {
+        origin = null;
+        List<Node> caches = new ArrayList<>();
+        for (Node n : nodes.values()) {
+            if (n.entry.kind().equals(originKind)) {
+                origin = n.entry.phase() == Phase.READY || origin == null ? n : origin;
+            } else if (n.entry.phase() == Phase.READY) {
+                caches.add(n);
+            }
+        }
+        double mean = caches.stream().mapToDouble(this::weight).average().orElse(1);
+        List<Point> points = new ArrayList<>();
+        for (Node n : caches) {
+            long count = Math.max(1, Math.round(POINTS * Math.min(CANDIDATES, weight(n) / mean)));
+            for (long i = 0; i < count; i++) {
+                points.add(new Point(mix(mix(n.entry.id().value()) + i), n));
+            }
+        }
+        points.sort(Comparator.comparingLong(Point::at).thenComparingLong(p -> p.node.entry.id().value()));
+        ring = points.toArray(Point[]::new);
+    }
+
+    /** Spreads the bits of an id evenly (the finisher of SplitMix64). */
+    private static long mix(long x) {
+        long z = x + 0x9e3779b97f4a7c15L;
+        z = (z ^ z >>> 30) * 0xbf58476d1ce4e5b9L;
+        z = (z ^ z >>> 27) * 0x94d049bb133111ebL;
+        return z ^ z >>> 31;
+    }
+}
--- /dev/null
+++ b/src/main/java/spurroad/model/Decisions.java
@@ -0,0 +1,34 @@
+package spurroad.model;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/** What one call decided: filled by the module, read by its host, then cleared for the next call. */
+public final class Decisions {
+    /** An execution to start; the executions of a query count from 0 in this order. */
+    public record Start(QueryId query, NodeId node, long allowNs) { }
+
+    /** An execution to call off. */
+    public record Stop(QueryId query, int execution) { }
+
+    /** A final answer other than a completed one; rejections promise that a retry does no harm. */
+    public record Answer(QueryId query, boolean rejected, long comeBackNs) { }
+
+    public final List<Start> starts = new ArrayList<>();
+    public final List<Stop> stops = new ArrayList<>();
+    public final List<Answer> answers = new ArrayList<>();
+    public final List<NodeId> probes = new ArrayList<>();
+    /** Whether to subscribe to the list now. */
+    public boolean follow;
+    /** When the module wants to be called next; Long.MAX_VALUE for never. */
+    public long wakeNs = Long.MAX_VALUE;
+
+    public void clear() {
+        starts.clear();
+        stops.clear();
+        answers.clear();
+        probes.clear();
+        follow = false;
+        wakeNs = Long.MAX_VALUE;
+    }
+}
--- /dev/null
+++ b/src/main/java/spurroad/model/DedupScope.java
@@ -0,0 +1,4 @@
+package spurroad.model;
+
+/** Which cache nodes discard a repeat of a deduplicated query. */
+public enum DedupScope { ALL, ZONE, CELL }
--- /dev/null
+++ b/src/main/java/spurroad/model/KindId.java
@@ -0,0 +1,4 @@
+package spurroad.model;
+
+/** A kind of machine. */
+public record KindId(int value) { }
--- /dev/null
+++ b/src/main/java/spurroad/model/ZoneId.java
@@ -0,0 +1,4 @@
+package spurroad.model;
+
+/** A data centre or server room. */
+public record ZoneId(int value) { }
--- /dev/null
+++ b/src/main/java/spurroad/wirehost/WireHost.java
@@ -0,0 +1,331 @@
+package spurroad.wirehost;
+
+import java.io.DataInputStream;
+import java.io.EOFException;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.nio.BufferUnderflowException;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import spurroad.Balance;
+import spurroad.model.CacheKey;
+import spurroad.model.CacheNote;
+import spurroad.model.CellId;
+import spurroad.model.CustomerId;
+import spurroad.model.Decisions;
+import spurroad.model.KindId;
+import spurroad.model.LoadReport;
+import spurroad.model.NodeEntry;
+import spurroad.model.NodeId;
+import spurroad.model.Outcome;
+import spurroad.model.Phase;
+import spurroad.model.QueryId;
+import spurroad.model.TrackId;
+import spurroad.model.ZoneId;
+
+/** Hosts many instances of the module on the simulator's wire: frames in, calls, frames out. */
+public final class WireHost {
+    private static final int LAUNCH = 10, ENDPOINTS = 20, ASK = 30, SETTLED = 50, CLIENT_LEFT = 60,
+        TIMEOUT_FIRED = 70, CHECKED = 80, POWER_OFF = 100;
+    private static final int HAND_OFF = 10, OVERLOAD_REPLY = 20, SURRENDER = 30, ABANDON = 40, DEFER = 50,
+        ASK_LOAD = 60, FATAL = 100, OBSERVE = 110;
+    private static final int HEADER_BYTES = 16, RECORD_BYTES = 5, ENTRY_BYTES = 23, NODE_BYTES = 6;
+    private static final int MAX_FRAME_BYTES = 1 << 28, MAX_TEXT_BYTES = 2_000;
+    private static final int SCOPE_DELTA = 0, SCOPE_FAILED = 3;
+    private static final int HINT_BIT = 1, RETRY_BIT = 2, WRITE_BIT = 4;
+    private static final long NS_PER_US = 1_000L, MAX_U32 = 0xffffffffL;
+    private static final Outcome[] OUTCOMES = Outcome.values();
+    private static final CacheNote[] NOTES = CacheNote.values();
+
+    private final DataInputStream in;
+    private final OutputStream out;
+    private final Map<Integer, Hosted> hosted = new HashMap<>();
+    private final Decisions decisions = new Decisions();
+    private ByteBuffer reply = ByteBuffer.allocate(1 << 16);
+
+    /** One instance, with what the wire alone needs to know of it. */
+    private static final class Hosted {
+        private final Balance balance;
+        private final List<String> columns;
+        private long armedNs = Long.MAX_VALUE;
+
+        private Hosted(Balance balance, List<String> columns) {
+            this.balance = balance;
+            this.columns = columns;
+        }
+    }
+
+    public WireHost(DataInputStream in, OutputStream out) {
+        this.in = in;
+        this.out = out;
+    }
+
+    /** Answers batches until the input ends between two frames. */
+    public void run() throws IOException {
+        byte[] header = new byte[4 + HEADER_BYTES];
+        while (true) {
+            int first = in.read();
+            if (first < 0) {
+                return;
+            }
+            header[0] = (byte) first;
+            readFully(header, 1, header.length - 1);
+            ByteBuffer head = ByteBuffer.wrap(header);
+            long length = head.getInt() & MAX_U32;
+            long nowUs = head.getLong();
+            long records = head.getInt() & MAX_U32;
+            int number = head.getInt();
+            long most = Math.min(length, MAX_FRAME_BYTES) / RECORD_BYTES;
+            if (length > MAX_FRAME_BYTES || records > most || nowUs < 0 || nowUs > Long.MAX_VALUE / NS_PER_US) {
+                throw new WireException("batch " + (number & MAX_U32) + " has an impossible header");
+            }
+            byte[] body = new byte[(int) length];
+            readFully(body, 0, body.length);
+            answer(number, nowUs * NS_PER_US, (int) records, ByteBuffer.wrap(body));
+        }
+    }
+
+    private void readFully(byte[] into, int at, int count) throws IOException {
+        try {
+            in.readFully(into, at, count);
+        } catch (EOFException e) {
+            throw new WireException("input ended inside a frame");
+        }
+    }
+
+    private void answer(int number, long now, int records, ByteBuffer body) throws IOException {
+        reply.clear();
+        reply.putInt(0).putInt(number);
+        for (int i = 0; i < records; i++) {
+            ByteBuffer fields;
+            int code;
+            try {
+                code = body.get() & 0xff;
+                int size = body.getInt();
+                if (size < 0 || size > body.remaining()) {
+                    throw new WireException("record " + i + " is longer than its batch");
+                }
+                fields = body.slice(body.position(), size);
+                body.position(body.position() + size);
+            } catch (BufferUnderflowException e) {
+                throw new WireException("record " + i + " is cut short");
+            }
+            try {
+                event(code, now, fields);
+            } catch (BufferUnderflowException | IllegalArgumentException e) {
+                throw new WireException("record " + i + " with code " + code + " has impossible fields");
+            }
+        }
+        if (body.hasRemaining()) {
+            throw new WireException("a batch is longer than its records");
+        }
+        reply.putInt(0, reply.position() - 8);
+        out.write(reply.array(), 0, reply.position());
+        out.flush();
+    }
+
+    private void event(int code, long now, ByteBuffer f) {
+        if (code != LAUNCH && code != ENDPOINTS && code != ASK && code != SETTLED && code != CLIENT_LEFT
+            && code != TIMEOUT_FIRED && code != CHECKED && code != POWER_OFF) {
+            return;
+        }
+        int instance = f.getInt();
+        if (code == LAUNCH) {
+            long seed = f.getLong();
+            StartLines lines = new StartLines(text(f));
+            hosted.put(instance, new Hosted(new Balance(lines.deployment(), seed), lines.reportColumns));
+            return;
+        }
+        Hosted host = hosted.get(instance);
+        if (host == null) {
+            return;
+        }
+        if (code == POWER_OFF) {
+            hosted.remove(instance);
+            return;
+        }
+        decisions.clear();
+        Runnable call = decode(code, now, f, host);
+        try {
+            call.run();
+        } catch (RuntimeException e) {
+            StackTraceElement[] at = e.getStackTrace();
+            fatal(instance, e + (at.length > 0 ? " at " + at[0] : ""));
+            return;
+        }
+        encode(instance, now, host);
+    }
+
+    private Runnable decode(int code, long now, ByteBuffer f, Hosted host) {
+        Balance to = host.balance;
+        switch (code) {
+            case ENDPOINTS: {
+                int scope = f.get();
+                f.getLong();
+                List<NodeEntry> entries = entries(f);
+                return scope == SCOPE_FAILED ? () -> to.listFailed(now, decisions)
+                    : () -> to.listed(now, entries, scope != SCOPE_DELTA, decisions);
+            }
+            case ASK: {
+                QueryId query = new QueryId(f.getLong());
+                CustomerId customer = new CustomerId(f.getInt());
+                TrackId track = new TrackId(f.getShort() & 0xffff);
+                int bits = f.get();
+                f.getFloat();
+                long work = (f.getInt() & MAX_U32) * NS_PER_US;
+                CacheKey key = new CacheKey(f.getLong());
+                long budget = (f.getInt() & MAX_U32) * NS_PER_US;
+                return () -> to.arrived(now, query, track, customer, key, (bits & WRITE_BIT) != 0,
+                    (bits & RETRY_BIT) != 0, (bits & HINT_BIT) != 0 ? work : 0, budget, decisions);
+            }
+            case SETTLED: {
+                QueryId query = new QueryId(f.getLong());
+                boolean last = f.get() != 0;
+                int execution = f.get() & 0xff;
+                long took = (f.getInt() & MAX_U32) * NS_PER_US;
+                node(f);
+                CacheNote note = NOTES[Math.min(f.get() & 0xff, NOTES.length - 1)];
+                Outcome outcome = outcome(f);
+                LoadReport load = load(f, host.columns);
+                return () -> to.ended(now, query, execution, outcome, note, took, load, last, decisions);
+            }
+            case CHECKED: {
+                NodeId node = node(f);
+                Outcome outcome = outcome(f);
+                long took = (f.getInt() & MAX_U32) * NS_PER_US;
+                LoadReport load = load(f, host.columns);
+                return () -> to.probed(now, node, outcome, took, load, decisions);
+            }
+            case CLIENT_LEFT: {
+                QueryId query = new QueryId(f.getLong());
+                return () -> to.left(now, query, decisions);
+            }
+            default:
+                if (f.getLong() == host.armedNs) {
+                    host.armedNs = Long.MAX_VALUE;
+                }
+                return () -> to.reached(now, decisions);
+        }
+    }
+
+    private static List<NodeEntry> entries(ByteBuffer f) {
+        int count = f.getInt();
+        if (count < 0 || (long) count * ENTRY_BYTES > f.remaining()) {
+            throw new IllegalArgumentException("count");
+        }
+        List<NodeEntry> entries = new ArrayList<>(count);
+        for (int i = 0; i < count; i++) {
+            KindId kind = new KindId(f.get() & 0xff);
+            ZoneId zone = new ZoneId(f.get() & 0xff);
+            long started = Math.max(0, Math.min(f.getLong(), Long.MAX_VALUE / NS_PER_US)) * NS_PER_US;
+            double weight = f.getFloat();
+            NodeId node = node(f);
+            Phase phase = switch (f.get()) {
+                case 1 -> Phase.GONE;
+                case 3 -> Phase.READY;
+                default -> Phase.DRAINING;
+            };
+            entries.add(new NodeEntry(node, kind, zone, new CellId(f.getShort() & 0xffff), started, weight,
+                phase));
+        }
+        return entries;
+    }
+
+    private static NodeId node(ByteBuffer f) {
+        return new NodeId((f.getInt() & MAX_U32) << 16 | f.getShort() & 0xffff);
+    }
+
+    private static Outcome outcome(ByteBuffer f) {
+        int result = f.getShort() & 0xffff;
+        return result < OUTCOMES.length ? OUTCOMES[result] : Outcome.ERROR;
+    }
+
+    private static LoadReport load(ByteBuffer f, List<String> columns) {
+        int count = f.get() & 0xff;
+        if (count == 0) {
+            return LoadReport.NONE;
+        }
+        double inFlight = Double.NaN, queue = Double.NaN, busy = Double.NaN, perSecond = Double.NaN;
+        for (int i = 0; i < count; i++) {
+            double value = f.getFloat();
+            String column = i < columns.size() && Double.isFinite(value) ? columns.get(i) : "";
+            switch (column) {
+                case "rif" -> inFlight = value;
+                case "q" -> queue = value;
+                case "busy" -> busy = value;
+                case "rate" -> perSecond = value;
+                default -> { }
+            }
+        }
+        return new LoadReport(inFlight, queue, busy, perSecond);
+    }
+
+    private static String text(ByteBuffer f) {
+        int count = f.getInt();
+        if (count < 0 || count > f.remaining()) {
+            throw new IllegalArgumentException("count");
+        }
+        byte[] bytes = new byte[count];
+        f.get(bytes);
+        return new String(bytes, StandardCharsets.UTF_8);
+    }
+
+    private void encode(int instance, long now, Hosted host) {
+        for (Decisions.Start start : decisions.starts) {
+            record(HAND_OFF, 4 + 8 + NODE_BYTES + 4, instance).putLong(start.query().value());
+            putNode(start.node());
+            putTime(Math.max(NS_PER_US, start.allowNs()));
+        }
+        for (Decisions.Stop stop : decisions.stops) {
+            record(ABANDON, 4 + 8 + 1, instance).putLong(stop.query().value()).put((byte) stop.execution());
+        }
+        for (Decisions.Answer answer : decisions.answers) {
+            if (answer.rejected()) {
+                record(OVERLOAD_REPLY, 4 + 8 + 4, instance).putLong(answer.query().value());
+                putTime(answer.comeBackNs());
+            } else {
+                record(SURRENDER, 4 + 8, instance).putLong(answer.query().value());
+            }
+        }
+        for (NodeId probe : decisions.probes) {
+            record(ASK_LOAD, 4 + NODE_BYTES, instance);
+            putNode(probe);
+        }
+        if (decisions.follow) {
+            record(OBSERVE, 4 + 1, instance).put((byte) 1);
+        }
+        if (decisions.wakeNs < host.armedNs) {
+            host.armedNs = decisions.wakeNs;
+            record(DEFER, 4 + 4 + 8, instance);
+            putTime(Math.max(0, decisions.wakeNs - now) + NS_PER_US - 1);
+            reply.putLong(decisions.wakeNs);
+        }
+    }
+
+    private ByteBuffer record(int code, int size, int instance) {
+        if (reply.remaining() < RECORD_BYTES + size) {
+            ByteBuffer larger = ByteBuffer.allocate(2 * reply.capacity() + RECORD_BYTES + size);
+            reply.flip();
+            reply = larger.put(reply);
+        }
+        return reply.put((byte) code).putInt(size).putInt(instance);
+    }
+
+    private void putNode(NodeId node) {
+        reply.putInt((int) (node.value() >>> 16)).putShort((short) node.value());
+    }
+
+    private void putTime(long ns) {
+        reply.putInt((int) Math.min(MAX_U32, Math.max(0, ns) / NS_PER_US));
+    }
+
+    private void fatal(int instance, String why) {
+        byte[] text = why.getBytes(StandardCharsets.UTF_8);
+        int size = Math.min(text.length, MAX_TEXT_BYTES);
+        record(FATAL, 4 + 2 + size, instance).putShort((short) size).put(text, 0, size);
+    }
+}
