Holds are never due at once; cold room follows what warm nodes carry

Cause: a query out of time was held and released in turn without end inside one call; cold nodes were measured against sends that warm nodes turned away.

--- a/src/main/java/spurroad/Balance.java
+++ b/src/main/java/spurroad/Balance.java
@@ -124,7 +124,7 @@
         private final Decaying[] depth = {new Decaying(MEMORY_NS), new Decaying(MEMORY_NS)};
         private Decaying good = new Decaying(MEMORY_NS);
         private Decaying bad = new Decaying(MEMORY_NS);
-        private final Decaying sent;
+        private final Decaying sent, carried;
         private long asideUntil;
         private boolean proven = true;
         private long pause = PAUSE_NS;
@@ -133,6 +133,7 @@
         private Node(NodeEntry entry, long rateNs) {
             this.entry = entry;
             sent = new Decaying(rateNs);
+            carried = new Decaying(rateNs);
         }
     }
 
@@ -279,12 +280,8 @@
             named.add(e.id());
             Node n = nodes.get(e.id());
             if (n == null || n.entry.startedNs() != e.startedNs()) {
-                Node fresh = new Node(e, fallNs);
-                if (n != null) {
-                    fresh.out.addAll(n.out);
-                }
-                nodes.put(e.id(), fresh);
-                n = fresh;
+                n = new Node(e, fallNs);
+                nodes.put(e.id(), n);
             }
             n.entry = e;
         }
@@ -563,8 +560,8 @@
         /** No answer was under the limit: the lowest queue, the silent ones taken at the mean; or chance. */
         private void waited(Qry q) {
             List<Node> c = q.candidates.stream().filter(n -> ready(n, q)).toList();
-            if (c.isEmpty()) {
-                settle(q, null);
+            if (c.isEmpty() || now + tickNs >= q.endAt) {
+                giveUp(q);
             } else if (q.answered.isEmpty()) {
                 settle(q, c.get(random.nextInt(c.size())));
             } else {
@@ -578,11 +575,7 @@
 
         private void settle(Qry q, Node n) {
             release(q);
-            if (n == null) {
-                pass(q);
-            } else {
-                to(q, n);
-            }
+            to(q, n);
         }
 
         private void to(Qry q, Node n) {
@@ -719,7 +712,8 @@
     private void hold(Qry q, Hold why, long until) {
         q.hold = why;
         q.holds++;
-        agenda.add(new Due(Math.min(until, q.endAt - tickNs), order++, q, q.holds));
+        // never due at once: a query out of time was held and released in turn for ever (overloaded days)
+        agenda.add(new Due(Math.max(now + tickNs, Math.min(until, q.endAt - tickNs)), order++, q, q.holds));
     }
 
     private void release(Qry q) {
@@ -802,6 +796,8 @@
         };
         if (answered) {
             n.lastAnswerAt = now;
+            // work turned away is not carried: counted, it made cold nodes of a lost data centre fall over
+            n.carried.add(now, outcome == Outcome.TURNED_AWAY ? 0 : 1);
         }
         boolean fetched = originKind == null && (note == CacheNote.MISS || e.qry.write);
         boolean paced = outcome == Outcome.COMPLETED && !fetched;
@@ -934,7 +930,7 @@
         double warm = 0, weight = 0;
         for (Node o : nodes.values()) {
             if (o != origin && o.entry.phase() == Phase.READY && now - o.entry.startedNs() >= coldNs) {
-                warm += o.sent.read(now);
+                warm += o.carried.read(now);
                 weight += weight(o);
             }
         }
