--- a/src/main/java/spurroad/Balance.java
+++ b/src/main/java/spurroad/Balance.java
@@ -67,11 +67,10 @@
     private static final long LONGEST_PAUSE_NS = 4_000_000_000L;
     // queries; a trickle that has doubled beyond this is an ordinary flow again.
     private static final int TRICKLE_END = 8;
-    // times the mean time of a completed query: silence of a node that is out of the ordinary.
-    private static final double SILENCE = 4;
-    // shares of the shortest SLO time: bounds of that silence, so that another try can still be in time.
-    private static final double LEAST_SILENCE = 0.15;
-    private static final double MOST_SILENCE = 0.4;
+    // times the mean time of a completed query, summed over what is out: silence that chance hardly makes.
+    private static final double SILENCE = 6;
+    // share of the shortest SLO time: the mean time is not taken to be shorter.
+    private static final double LEAST_SILENCE = 0.1;
     // ns; how often silence is looked for while executions are out.
     private static final long SWEEP_NS = 50_000_000L;
     // further executions allowed for each first one, and how many may be saved up.
@@ -177,7 +176,7 @@
 
     /** What decisions need of a track. */
     private record TrackFigures(Effect effect, DedupScope scope, long windowNs, long sloNs, double sloStretch,
-                                double importance, boolean lateCounts, double waitNs, double originNs) { }
+                                double importance, boolean lateCounts, double waitNs) { }
 
     private record Due(long at, long order, Qry qry, int hold) { }
 
@@ -267,7 +266,7 @@
 
     private static TrackFigures figures(Track t) {
         return new TrackFigures(t.effect(), t.dedupScope(), t.dedupWindowNs(), t.sloNs(), t.sloStretch(),
-            t.importance(), t.lateShare() > 0, WAIT_SHARE * t.sloNs(), ORIGIN_SHARE * t.sloNs());
+            t.importance(), t.lateShare() > 0, WAIT_SHARE * t.sloNs());
     }
 
     // ---- what happens
@@ -438,7 +437,9 @@
             }
             boolean unseen = outcome.provesNotRun();
             boolean inTime = now + tickNs < (q.track.lateCounts ? q.endAt : q.sloAt);
-            if (outcome == Outcome.NEVER_SENT || !inTime || !mayRunAgain(q) || !unseen && further < 1) {
+            // storms: queries turned away everywhere went on to every node (first incidents)
+            boolean allFull = outcome == Outcome.TURNED_AWAY && q.avoid.size() >= CANDIDATES;
+            if (allFull || outcome == Outcome.NEVER_SENT || !inTime || !mayRunAgain(q) || !unseen && further < 1) {
                 giveUp(q);
                 return;
             }
@@ -462,7 +463,8 @@
             if (leader != null && leader != q) {
                 followers.computeIfAbsent(leader, k -> new ArrayList<>()).add(q);
                 hold(q, Hold.FETCH, q.sloAt);
-            } else if (origin == null || expected(origin, waiting.headSet(q).size()) > q.sloAt - now) {
+            } else if (origin == null || expected(origin, waiting.headSet(q).size()) > q.sloAt - now
+                || q.beyondShare && !originHasRoom()) {
                 giveUp(q);
             } else {
                 waiting.add(q);
@@ -470,9 +472,12 @@
             }
         }
 
+        private boolean originHasRoom() {
+            return origin != null && origin.out.size() < limit(origin, ORIGIN_SHARE * shortestSloNs);
+        }
+
         private void pump() {
-            while (!waiting.isEmpty() && origin != null
-                && origin.out.size() < limit(origin, waiting.first().track.originNs)) {
+            while (!waiting.isEmpty() && originHasRoom()) {
                 Qry q = waiting.pollFirst();
                 release(q);
                 q.target = origin;
@@ -751,7 +756,8 @@
         int s = fresh(n) ? 1 : 0;
         double usual = (allTook[s].read(now) + PRIOR * shortestSloNs * WAIT_SHARE / CANDIDATES)
             / (allDepth[s].read(now) + PRIOR);
-        return (n.took[s].read(now) + PRIOR * usual) / (n.depth[s].read(now) + PRIOR);
+        // a node that falls silent slows down before any of its executions has ended
+        return (n.took[s].read(now) + PRIOR * usual + unanswered(n)) / (n.depth[s].read(now) + PRIOR);
     }
 
     private double limit(Node n, double waitNs) {
@@ -862,25 +868,32 @@
         n.bad = new Decaying(MEMORY_NS);
     }
 
-    private double silence() {
-        double mean = allEnds.read(now) < 1 ? 0 : allTimes.read(now) / allEnds.read(now);
-        return Math.max(LEAST_SILENCE * shortestSloNs, Math.min(SILENCE * mean, MOST_SILENCE * shortestSloNs));
+    /** Time that the executions out at a node have spent since it last answered, all together. */
+    private double unanswered(Node n) {
+        double sum = 0;
+        for (Exec e : n.out) {
+            sum += now - Math.max(n.lastAnswerAt, e.sentAt);
+        }
+        return sum;
+    }
+
+    private double usualTime() {
+        double usual = LEAST_SILENCE * shortestSloNs;
+        return Math.max(usual, (allTimes.read(now) + usual) / (allEnds.read(now) + 1));
     }
 
-    private boolean silent(Node n, double patience) {
-        return !n.out.isEmpty() && now - Math.max(n.lastAnswerAt, n.out.get(0).sentAt)
-            > patience * (n.out.size() > 1 ? 1 : 2);
+    private boolean silent(Node n, double times) {
+        return unanswered(n) > times * usualTime();
     }
 
     /** Nodes that take queries and answer none are set aside, and what may run again goes elsewhere. */
     private void sweep() {
-        double patience = silence();
         List<Node> silent = new ArrayList<>();
         int ready = 0;
         for (Node n : nodes.values()) {
             if (n != origin && n.entry.phase() == Phase.READY) {
                 ready++;
-                if (silent(n, patience)) {
+                if (silent(n, SILENCE)) {
                     silent.add(n);
                 }
                 if (n.trickle > 0 && !n.proven && now >= n.asideUntil) {
@@ -918,7 +931,7 @@
         if (n.trickle > 0 && (!idempotent || n.trickleLeft <= 0 || !n.proven)) {
             return false;
         }
-        return (idempotent || !silent(n, silence() / 2)) && hasRoomWhileCold(n);
+        return (idempotent || !silent(n, SILENCE / 2)) && hasRoomWhileCold(n);
     }
 
     /** A cold node takes its part of what warm ones get from here, growing with its stated warm-up. */
