--- a/src/main/java/spurroad/Balance.java
+++ b/src/main/java/spurroad/Balance.java
@@ -116,7 +116,7 @@
         private int sentSince;
         private double busy = Double.NaN;
         private boolean probing;
-        private long lastAnswerAt;
+        private long lastAnswerAt, probeFailedAt;
         private final List<Exec> out = new ArrayList<>();
         // pace, by whether the figure at the start was the stand-in (0) or reported (1): times and figures
         private final Decaying[] took = {new Decaying(MEMORY_NS), new Decaying(MEMORY_NS)};
@@ -362,8 +362,9 @@
                 probeTimes.add(now, tookNs);
                 learn(n, load);
                 n.proven = true;
-            } else if (now >= n.asideUntil && !n.proven) {
-                n.asideUntil = now + n.pause;
+            } else {
+                n.probeFailedAt = now;
+                n.asideUntil = n.proven ? n.asideUntil : Math.max(n.asideUntil, now + n.pause);
             }
             for (Qry q : List.copyOf(probingQueries)) {
                 choice.heard(q, n, answered);
@@ -817,10 +818,12 @@
             if (n != origin) {
                 allTook[e.scope].add(now, took);
                 allDepth[e.scope].add(now, e.depth + 1);
-                allEnds.add(now, 1);
-                allTimes.add(now, took);
             }
         }
+        if (n != origin && outcome == Outcome.COMPLETED) {
+            allEnds.add(now, 1);
+            allTimes.add(now, took);
+        }
         if (n == origin || outcome == Outcome.NEVER_SENT || e.stopped && outcome == Outcome.CANCELLED) {
             return;
         }
@@ -893,8 +896,10 @@
         for (Node n : nodes.values()) {
             if (n != origin && n.entry.phase() == Phase.READY) {
                 ready++;
-                if (silent(n, SILENCE)) {
+                if (silent(n, n.probeFailedAt > n.lastAnswerAt ? SILENCE : 2 * SILENCE)) {
                     silent.add(n);
+                } else if (silent(n, SILENCE / 2)) {
+                    probe(n);
                 }
                 if (n.trickle > 0 && !n.proven && now >= n.asideUntil) {
                     probe(n);
