--- a/src/main/java/spurroad/Balance.java
+++ b/src/main/java/spurroad/Balance.java
@@ -1,32 +1,8 @@
 package spurroad;
 
-import java.util.ArrayList;
-import java.util.Arrays;
-import java.util.Comparator;
-import java.util.HashMap;
-import java.util.HashSet;
-import java.util.LinkedHashMap;
-import java.util.List;
-import java.util.Map;
-import java.util.PriorityQueue;
-import java.util.Random;
-import java.util.Set;
-import java.util.TreeSet;
-import spurroad.model.CacheKey;
-import spurroad.model.CacheNote;
-import spurroad.model.CustomerId;
-import spurroad.model.Decisions;
-import spurroad.model.DedupScope;
-import spurroad.model.Deployment;
-import spurroad.model.Effect;
-import spurroad.model.LoadReport;
-import spurroad.model.NodeEntry;
-import spurroad.model.NodeId;
-import spurroad.model.Outcome;
-import spurroad.model.Phase;
-import spurroad.model.QueryId;
-import spurroad.model.Track;
-import spurroad.model.TrackId;
+import java.util.*;
+import java.util.stream.IntStream;
+import spurroad.model.*;
 
 /**
  * All decisions of one proxy. The host makes one instance per proxy from the start figures and a seed, calls it
@@ -43,69 +19,69 @@
     private static final long FRESH_NS = 900_000_000L;
     // ns; the wait for probes starts here, the design's figure.
     private static final long PROBE_WAIT_NS = 20_000_000L;
-    // times the mean probe round trip: the wait where the network is not one fast one.
-    private static final double PROBE_TRIPS = 1.5;
-    // share of the shortest SLO time: no probe wait is longer, whatever the round trips.
-    private static final double PROBE_WAIT_SHARE = 0.05;
+    // times the mean probe round trip, and share of the shortest SLO time: the wait on a slower network.
+    private static final double PROBE_TRIPS = 1.5, PROBE_WAIT_SHARE = 0.05;
     // queries; the soft limit is never lower, the design's figure.
     private static final double LEAST_LIMIT = 2;
     // share of the track's SLO time: the queueing a cache node may show before other candidates are asked.
     private static final double WAIT_SHARE = 0.25;
-    // share of the SLO time: what the origin's queue may take before queries are kept here.
+    // share of the shortest SLO time: what the origin's queue may take before queries are kept here.
     private static final double ORIGIN_SHARE = 0.5;
-    // queries; before any are seen a node counts as having completed this many at an even pace.
+    // queries; before any are seen a node counts as having completed this many at the usual pace.
     private static final double PRIOR = 2;
-    // ns; how far back pace and health are remembered: some tens of queries at a node.
-    private static final long MEMORY_NS = 4_000_000_000L;
-    // ns; how far back a customer's rate is remembered.
-    private static final long RATE_NS = 2_000_000_000L;
-    // bad ends, and their share above twice that of the better nodes, that set a node aside.
-    private static final double BAD_ENDS = 1.5;
-    private static final double BAD_SHARE = 0.3;
-    // ns; first and longest pause of a node set aside; doubled while it goes badly.
-    private static final long PAUSE_NS = 500_000_000L;
-    private static final long LONGEST_PAUSE_NS = 4_000_000_000L;
+    // ns; how far back pace and health are remembered (tens of queries a node), and a customer's rate.
+    private static final long MEMORY_NS = 4_000_000_000L, RATE_NS = 2_000_000_000L;
+    // bad ends, and their share above twice that of the better nodes, that set a node aside: not one mishap.
+    private static final double BAD_ENDS = 1.5, BAD_SHARE = 0.3;
+    // ns; first and longest pause of a node set aside: short beside a fault, long beside a time-out.
+    private static final long PAUSE_NS = 500_000_000L, LONGEST_PAUSE_NS = 4_000_000_000L;
     // queries; a trickle that has doubled beyond this is an ordinary flow again.
     private static final int TRICKLE_END = 8;
-    // times the mean time of a completed query, summed over what is out: silence that chance hardly makes.
+    // times the usual time, summed over what is out: silence that chance hardly makes.
     private static final double SILENCE = 6;
-    // share of the shortest SLO time: the mean time is not taken to be shorter.
-    private static final double LEAST_SILENCE = 0.1;
-    // ns; how often silence is looked for while executions are out.
+    // share of the shortest SLO time: the usual time is not taken to be shorter.
+    private static final double LEAST_USUAL = 0.1;
+    // ns; how often silence is looked for while executions are out: short beside any time-out.
     private static final long SWEEP_NS = 50_000_000L;
-    // further executions allowed for each first one, and how many may be saved up.
-    private static final double FURTHER = 0.2;
-    private static final double FURTHER_MOST = 20;
-    // share of the soft limit that queries beyond a customer's share may fill.
+    // further executions for each first one, and how many are saved up: failures must not multiply load.
+    private static final double FURTHER = 0.2, FURTHER_MOST = 20;
+    // share of the soft limit that queries beyond a customer's share may fill: they are shed first.
     private static final double BEYOND_SHARE = 0.5;
-    // share of the SLO time after which a rejected client is asked back.
+    // share of the SLO time after which a rejected client is asked back: a queue has moved on by then.
     private static final double COME_BACK = 0.5;
-    // ns; first and longest pause before subscribing to the list again.
-    private static final long FOLLOW_NS = 500_000_000L;
-    private static final long LONGEST_FOLLOW_NS = 8_000_000_000L;
+    // ns; first and longest pause before subscribing to the list again: the list is one service for all.
+    private static final long FOLLOW_NS = 500_000_000L, LONGEST_FOLLOW_NS = 8_000_000_000L;
 
     private enum Hold { NONE, PROBES, ORIGIN, FETCH, PAUSE }
 
-    /** A sum that loses its weight evenly with time, brought up to date when read. */
-    private static final class Decaying {
+    /** Two sums that lose their weight evenly with time, brought up to date when read. */
+    private static final class Fading {
         private final double memory;
-        private double sum;
+        private double top, bottom;
         private long at;
 
-        private Decaying(long memoryNs) {
+        private Fading(long memoryNs) {
             memory = memoryNs;
         }
 
-        private double read(long now) {
+        private Fading at(long now) {
             if (now > at) {
-                sum *= Math.exp((at - now) / memory);
+                double kept = Math.exp((at - now) / memory);
+                top *= kept;
+                bottom *= kept;
                 at = now;
             }
-            return sum;
+            return this;
         }
 
-        private void add(long now, double amount) {
-            sum = read(now) + amount;
+        private void add(long now, double moreTop, double moreBottom) {
+            at(now).top += moreTop;
+            bottom += moreBottom;
+        }
+
+        /** The ratio of the sums, as if `weight` of it had been `usual`. */
+        private double ratio(long now, double weight, double usual) {
+            return (at(now).top + weight * usual) / Math.max(1e-9, bottom + weight);
         }
     }
 
@@ -113,47 +89,28 @@
         private NodeEntry entry;
         private double reported = Double.NaN;
         private long reportedAt = Long.MIN_VALUE / 2;
-        private int sentSince;
-        private double busy = Double.NaN;
-        private boolean probing;
-        private long lastAnswerAt, probeFailedAt;
+        private long lastAnswerAt, probeFailedAt, asideUntil, pause = PAUSE_NS;
+        private int sentSince, trickle, trickleLeft, trickleGood;
+        private boolean probing, proven = true;
         private final List<Exec> out = new ArrayList<>();
-        // pace, by whether the figure at the start was the stand-in (0) or reported (1): times and figures
-        private final Decaying[] took = {new Decaying(MEMORY_NS), new Decaying(MEMORY_NS)};
-        private final Decaying[] depth = {new Decaying(MEMORY_NS), new Decaying(MEMORY_NS)};
-        private Decaying good = new Decaying(MEMORY_NS);
-        private Decaying bad = new Decaying(MEMORY_NS);
-        private final Decaying sent, carried;
-        private long asideUntil;
-        private boolean proven = true;
-        private long pause = PAUSE_NS;
-        private int trickle, trickleLeft, trickleGood;
-
-        private Node(NodeEntry entry, long rateNs) {
+        // times of completed queries over the figures they met, by whether those were the stand-in or reported
+        private final Fading[] pace = {new Fading(MEMORY_NS), new Fading(MEMORY_NS)};
+        private Fading bad = new Fading(MEMORY_NS);
+        private final Fading load;
+
+        private Node(NodeEntry entry, long loadNs) {
             this.entry = entry;
-            sent = new Decaying(rateNs);
-            carried = new Decaying(rateNs);
+            load = new Fading(loadNs);
         }
     }
 
     private static final class Exec {
-        private final Qry qry;
-        private final Node node;
-        private final int number;
-        private final long sentAt;
-        private final int scope;
-        private final double depth;
-        private boolean out = true;
-        private boolean stopped;
-
-        private Exec(Qry qry, Node node, long sentAt, int scope, double depth) {
-            this.qry = qry;
-            this.node = node;
-            this.number = qry.execs.size();
-            this.sentAt = sentAt;
-            this.scope = scope;
-            this.depth = depth;
-        }
+        private Qry qry;
+        private Node node;
+        private int number, scope;
+        private long sentAt;
+        private double depth;
+        private boolean out = true, stopped;
     }
 
     private static final class Qry {
@@ -163,13 +120,12 @@
         private long order, point, sloAt, endAt;
         private boolean beyondShare, write, missed, pausedForFetch, served, done;
         private final List<Exec> execs = new ArrayList<>(2);
-        private int out;
+        private int out, holds;
         private Exec mayHaveRun;
         private Hold hold = Hold.NONE;
-        private int holds;
         private List<Node> candidates = List.of();
         private final Set<Node> asked = new HashSet<>(4);
-        private final Set<Node> answered = new HashSet<>(4);
+        private boolean answered;
         private final List<Node> avoid = new ArrayList<>(2);
         private Node target;
     }
@@ -182,8 +138,6 @@
 
     private record Point(long at, Node node) { }
 
-    private record ExecId(QueryId query, int number) { }
-
     /** A link of the chain: queries pass forward, ended executions come back. */
     private abstract static class Stage {
         Stage next, previous;
@@ -198,65 +152,55 @@
     private final Random random;
     private final TrackFigures[] tracks;
     private final double[] customerPace;
-    private final Decaying[] customerSent;
-    private final Object originKind;
-    private final boolean mustAsk, weighted, probes, cancels, secondCopies, comeBack;
+    private final Fading[] customerSent;
+    private final KindId originKind;
+    private final boolean mustAsk, weighted, probes, cancels, secondCopies;
     private final long maxComeBackNs, coldNs, fallNs, tickNs, shortestSloNs;
     private final int mostExecutions;
     private final double startCapacity;
-
-    private final Stage first;
-    private final Choice choice;
-    private final Fetch fetch;
-    private final Sending sending;
+    private final Stage first = new Entry();
+    private final Fetch fetch = new Fetch();
+    private final Choice choice = new Choice();
+    private final Sending sending = new Sending();
     private final Map<NodeId, Node> nodes = new LinkedHashMap<>();
     private Point[] ring = {};
     private Node origin;
     private final Map<QueryId, Qry> queries = new HashMap<>();
-    private final Map<ExecId, Exec> outs = new HashMap<>();
     private final PriorityQueue<Due> agenda =
         new PriorityQueue<>(Comparator.comparingLong(Due::at).thenComparingLong(Due::order));
-    private final TreeSet<Qry> waiting;
-    private final Decaying[] allTook = {new Decaying(MEMORY_NS), new Decaying(MEMORY_NS)};
-    private final Decaying[] allDepth = {new Decaying(MEMORY_NS), new Decaying(MEMORY_NS)};
-    private final Decaying allEnds = new Decaying(MEMORY_NS);
-    private final Decaying allTimes = new Decaying(MEMORY_NS);
-    private final Decaying probeEnds = new Decaying(MEMORY_NS);
-    private final Decaying probeTimes = new Decaying(MEMORY_NS);
+    private final TreeSet<Qry> waiting = new TreeSet<>(Comparator.comparing((Qry q) -> q.beyondShare)
+        .thenComparing(q -> -q.track.importance).thenComparing(q -> !q.write).thenComparing(q -> q.order));
+    private final Fading[] allPace = {new Fading(MEMORY_NS), new Fading(MEMORY_NS)};
+    private final Fading allTimes = new Fading(MEMORY_NS), probeTrips = new Fading(MEMORY_NS);
     private final List<Qry> probingQueries = new ArrayList<>();
     private double further = FURTHER_MOST;
     private long followPause = FOLLOW_NS, followAt = Long.MAX_VALUE, sweepAt = Long.MAX_VALUE;
     private boolean following;
+    private int out;
     private long order, now;
     private Decisions decisions;
 
     public Balance(Deployment start, long seed) {
         random = new Random(seed);
-        tracks = start.tracks().stream().map(Balance::figures).toArray(TrackFigures[]::new);
+        tracks = start.tracks().stream().map(t -> new TrackFigures(t.effect(), t.dedupScope(), t.dedupWindowNs(),
+            t.sloNs(), t.sloStretch(), t.importance(), t.lateShare() > 0, WAIT_SHARE * t.sloNs()))
+            .toArray(TrackFigures[]::new);
         shortestSloNs = start.tracks().stream().mapToLong(Track::sloNs).min().orElse(FRESH_NS);
         customerPace = start.allowancePerS().stream().mapToDouble(a -> a / start.proxies()).toArray();
-        customerSent = new Decaying[customerPace.length];
-        Arrays.setAll(customerSent, i -> new Decaying(RATE_NS));
+        customerSent = new Fading[customerPace.length];
+        Arrays.setAll(customerSent, i -> new Fading(RATE_NS));
         originKind = start.originKind();
         mustAsk = start.mustAsk();
         weighted = start.weighted();
         probes = start.probes();
         cancels = start.cancels();
         secondCopies = start.secondCopies();
-        comeBack = start.comeBack();
-        maxComeBackNs = start.maxComeBackNs();
+        maxComeBackNs = start.comeBack() ? start.maxComeBackNs() : 0;
         mostExecutions = start.mostExecutions();
         startCapacity = start.startCapacity();
         coldNs = start.coldNs();
         fallNs = Math.max(start.fallNs(), SWEEP_NS);
         tickNs = start.tickNs();
-        waiting = new TreeSet<>(Comparator.comparing((Qry q) -> q.beyondShare)
-            .thenComparing(q -> -q.track.importance).thenComparing(q -> !q.write)
-            .thenComparing(q -> q.order));
-        first = new Entry();
-        fetch = new Fetch();
-        choice = new Choice();
-        sending = new Sending();
         Stage[] chain = {first, fetch, choice, sending};
         for (int i = 0; i + 1 < chain.length; i++) {
             chain[i].next = chain[i + 1];
@@ -264,11 +208,6 @@
         }
     }
 
-    private static TrackFigures figures(Track t) {
-        return new TrackFigures(t.effect(), t.dedupScope(), t.dedupWindowNs(), t.sloNs(), t.sloStretch(),
-            t.importance(), t.lateShare() > 0, WAIT_SHARE * t.sloNs());
-    }
-
     // ---- what happens
 
     /** The list came, whole or as changes. */
@@ -279,24 +218,21 @@
             named.add(e.id());
             Node n = nodes.get(e.id());
             if (n == null || n.entry.startedNs() != e.startedNs()) {
-                n = new Node(e, fallNs);
-                nodes.put(e.id(), n);
+                nodes.put(e.id(), new Node(e, fallNs));
+            } else {
+                n.entry = e;
             }
-            n.entry = e;
         }
         for (Node n : nodes.values()) {
-            if (complete && !named.contains(n.entry.id())) {
-                NodeEntry e = n.entry;
+            NodeEntry e = n.entry;
+            if (complete && !named.contains(e.id())) {
                 n.entry = new NodeEntry(e.id(), e.kind(), e.zone(), e.cell(), e.startedNs(), e.weight(), Phase.GONE);
             }
         }
         buildRing();
-        if (mustAsk && !following) {
-            into.follow = true;
-            following = true;
-        } else {
-            followPause = FOLLOW_NS;
-        }
+        followPause = following ? FOLLOW_NS : followPause;
+        into.follow = mustAsk && !following;
+        following = true;
         finish();
     }
 
@@ -312,7 +248,7 @@
 
     /** A query came in; workNs is a rough hint of its cost or zero. */
     public void arrived(long at, QueryId id, TrackId track, CustomerId customer, CacheKey key, boolean write,
-                        boolean retry, long workNs, long budgetNs, Decisions into) {
+                        long workNs, long budgetNs, Decisions into) {
         begin(at, into);
         Qry q = new Qry();
         q.id = id;
@@ -325,8 +261,8 @@
         q.sloAt = Math.min(q.endAt, now + q.track.sloNs + (long) (q.track.sloStretch * workNs));
         int c = customer.value();
         if (c >= 0 && c < customerPace.length) {
-            customerSent[c].add(now, 1);
-            double pace = customerSent[c].read(now) * 1e9 / RATE_NS;
+            customerSent[c].add(now, 1, 0);
+            double pace = customerSent[c].top * 1e9 / RATE_NS;
             q.beyondShare = pace > customerPace[c] && random.nextDouble() > customerPace[c] / pace;
         }
         queries.put(id, q);
@@ -336,16 +272,18 @@
     }
 
     /** An execution ended. */
-    public void ended(long at, QueryId id, int execution, Outcome outcome, CacheNote note, long tookNs,
-                      LoadReport load, boolean last, Decisions into) {
+    public void ended(long at, QueryId id, int execution, Outcome outcome, CacheNote note, LoadReport load,
+                      boolean last, Decisions into) {
         begin(at, into);
-        Exec e = outs.remove(new ExecId(id, execution));
-        if (e != null) {
+        Qry q = queries.get(id);
+        if (q != null && execution < q.execs.size() && q.execs.get(execution).out) {
+            q.served |= outcome == Outcome.COMPLETED;
             if (last) {
-                close(e.qry);
+                close(q);
             }
-            learn(e.node, load);
-            sending.back(e.qry, e, outcome, note);
+            learn(q.execs.get(execution).node, load);
+            sending.back(q, q.execs.get(execution), outcome, note);
+            forget(q);
         }
         finish();
     }
@@ -358,8 +296,7 @@
             n.probing = false;
             boolean answered = outcome == Outcome.COMPLETED;
             if (answered) {
-                probeEnds.add(now, 1);
-                probeTimes.add(now, tookNs);
+                probeTrips.add(now, tookNs, 1);
                 learn(n, load);
                 n.proven = true;
             } else {
@@ -378,7 +315,7 @@
         begin(at, into);
         Qry q = queries.get(id);
         if (q != null) {
-            stopAll(q);
+            q.execs.forEach(this::stop);
             close(q);
         }
         finish();
@@ -398,7 +335,7 @@
     private void finish() {
         while (!agenda.isEmpty() && agenda.peek().at <= now) {
             Due due = agenda.poll();
-            if (!due.qry.done && due.qry.holds == due.hold && due.qry.hold != Hold.NONE) {
+            if (due.qry.hold != Hold.NONE && due.qry.holds == due.hold) {
                 heldLongEnough(due.qry);
             }
         }
@@ -411,9 +348,7 @@
             sweep();
         }
         fetch.pump();
-        if (sweepAt == Long.MAX_VALUE && !outs.isEmpty()) {
-            sweepAt = now + SWEEP_NS;
-        }
+        sweepAt = sweepAt == Long.MAX_VALUE && out > 0 ? now + SWEEP_NS : sweepAt;
         long wake = Math.min(followAt, sweepAt);
         decisions.wakeNs = agenda.isEmpty() ? wake : Math.min(wake, agenda.peek().at);
     }
@@ -440,7 +375,7 @@
             boolean inTime = now + tickNs < (q.track.lateCounts ? q.endAt : q.sloAt);
             // storms: queries turned away everywhere went on to every node (first incidents)
             boolean allFull = outcome == Outcome.TURNED_AWAY && q.avoid.size() >= CANDIDATES;
-            if (allFull || outcome == Outcome.NEVER_SENT || !inTime || !mayRunAgain(q) || !unseen && further < 1) {
+            if (allFull || outcome == Outcome.NEVER_SENT || !inTime || !unseen && further < 1) {
                 giveUp(q);
                 return;
             }
@@ -488,33 +423,33 @@
 
         @Override
         void back(Qry q, Exec e, Outcome outcome, CacheNote note) {
-            if (outcome == Outcome.MISS && origin != null && e.node != origin) {
-                boolean elsewhere = note == CacheNote.FETCH_OUT && !q.pausedForFetch;
-                q.pausedForFetch |= elsewhere;
-                q.missed = !elsewhere;
-                if (elsewhere) {
-                    // another proxy fetches this key already: wait one fetch and look again
-                    hold(q, Hold.PAUSE, Math.min(q.sloAt, now + (long) expected(origin, 0)));
-                } else {
-                    pass(q);
-                }
+            if (outcome != Outcome.MISS || origin == null || e.node == origin) {
+                previous.back(q, e, outcome, note);
                 return;
             }
-            previous.back(q, e, outcome, note);
+            boolean elsewhere = note == CacheNote.FETCH_OUT && !q.pausedForFetch;
+            q.pausedForFetch |= elsewhere;
+            q.missed = !elsewhere;
+            if (elsewhere) {
+                // another proxy fetches this key already: wait one fetch and look again
+                hold(q, Hold.PAUSE, Math.min(q.sloAt, now + (long) expected(origin, 0)));
+            } else {
+                pass(q);
+            }
         }
 
         /** The fetch of a key is over: those who waited look at the cache again, or one of them leads. */
         private void over(Qry q) {
             waiting.remove(q);
             leaders.remove(q.key, q);
-            List<Qry> waited = followers.remove(q);
-            for (Qry f : waited == null ? List.<Qry>of() : waited) {
-                if (!f.done && f.hold == Hold.FETCH) {
+            for (Qry f : followers.getOrDefault(q, List.of())) {
+                if (f.hold == Hold.FETCH) {
                     release(f);
                     f.missed = !q.served;
                     first.pass(f);
                 }
             }
+            followers.remove(q);
         }
     }
 
@@ -528,37 +463,35 @@
                 return;
             }
             Node local = c.get(0);
-            boolean under = figure(local) < limit(local, q.track.waitNs);
-            if (under || c.size() == 1 || !probes) {
+            if (underLimit(local, q) || c.size() == 1 || !probes) {
                 if (!fresh(local) && !Double.isNaN(local.reported)) {
                     probe(local);
                 }
-                to(q, under || c.size() == 1 ? local : lowest(c));
+                to(q, underLimit(local, q) ? local : lowest(c));
                 return;
             }
             q.candidates = c;
+            q.answered = false;
             q.asked.clear();
-            q.answered.clear();
-            for (Node n : c.subList(1, c.size())) {
-                q.asked.add(n);
-                probe(n);
-            }
+            q.asked.addAll(c.subList(1, c.size()));
+            c.subList(1, c.size()).forEach(Balance.this::probe);
             probingQueries.add(q);
             hold(q, Hold.PROBES, now + probeWait());
         }
 
+        private boolean underLimit(Node n, Qry q) {
+            return figure(n) < limit(n, q.track.waitNs);
+        }
+
         private void heard(Qry q, Node n, boolean answered) {
             if (q.hold != Hold.PROBES || !q.asked.remove(n)) {
                 return;
             }
-            if (answered) {
-                q.answered.add(n);
-                if (ready(n, q) && figure(n) < limit(n, q.track.waitNs)) {
-                    settle(q, n);
-                    return;
-                }
-            }
-            if (q.asked.isEmpty()) {
+            q.answered |= answered;
+            if (answered && ready(n, q) && underLimit(n, q)) {
+                release(q);
+                to(q, n);
+            } else if (q.asked.isEmpty()) {
                 waited(q);
             }
         }
@@ -566,22 +499,16 @@
         /** No answer was under the limit: the lowest queue, the silent ones taken at the mean; or chance. */
         private void waited(Qry q) {
             List<Node> c = q.candidates.stream().filter(n -> ready(n, q)).toList();
+            release(q);
             if (c.isEmpty() || now + tickNs >= q.endAt) {
                 giveUp(q);
-            } else if (q.answered.isEmpty()) {
-                settle(q, c.get(random.nextInt(c.size())));
             } else {
-                settle(q, lowest(c));
+                to(q, q.answered ? lowest(c) : c.get(random.nextInt(c.size())));
             }
         }
 
         private Node lowest(List<Node> c) {
-            return c.stream().min(Comparator.comparingDouble(n -> figure(n) / limit(n, 1))).orElseThrow();
-        }
-
-        private void settle(Qry q, Node n) {
-            release(q);
-            to(q, n);
+            return c.stream().min(Comparator.comparingDouble(n -> figure(n) * pace(n))).orElseThrow();
         }
 
         private void to(Qry q, Node n) {
@@ -605,17 +532,20 @@
                 giveUp(q);
                 return;
             }
-            int scope = fresh(n) ? 1 : 0;
-            Exec e = new Exec(q, n, now, scope, figure(n));
+            Exec e = new Exec();
+            e.qry = q;
+            e.node = n;
+            e.number = q.execs.size();
+            e.sentAt = now;
+            e.scope = fresh(n) ? 1 : 0;
+            e.depth = figure(n);
             q.execs.add(e);
-            q.out++;
             n.out.add(e);
-            outs.put(new ExecId(q.id, e.number), e);
+            q.out++;
+            out++;
             n.sentSince++;
-            n.sent.add(now, 1);
-            if (n.trickle > 0) {
-                n.trickleLeft--;
-            }
+            n.load.add(now, 1, 0);
+            n.trickleLeft -= n.trickle > 0 ? 1 : 0;
             long until = q.track.lateCounts || q.write ? q.endAt : q.sloAt;
             decisions.starts.add(new Decisions.Start(q.id, n.entry.id(), until - now));
         }
@@ -624,12 +554,12 @@
         void back(Qry q, Exec e, Outcome outcome, CacheNote note) {
             e.out = false;
             q.out--;
+            out--;
             e.node.out.remove(e);
             if (!outcome.provesNotRun() && q.mayHaveRun == null) {
                 q.mayHaveRun = e;
             }
             judge(e, outcome, note);
-            q.served |= outcome == Outcome.COMPLETED;
             if (e.node == origin) {
                 fetch.over(q);
             }
@@ -648,66 +578,55 @@
         if (q.execs.size() >= mostExecutions || q.out > 0 && !secondCopies || n.entry.phase() != Phase.READY) {
             return false;
         }
-        Exec ran = q.mayHaveRun;
-        for (int i = 0; ran == null && i < q.execs.size(); i++) {
-            ran = q.execs.get(i).out ? q.execs.get(i) : null;
-        }
+        Exec ran = q.mayHaveRun != null ? q.mayHaveRun
+            : q.execs.stream().filter(e -> e.out).findFirst().orElse(null);
         return ran == null || switch (q.track.effect) {
             case IDEMPOTENT -> true;
             case NON_IDEMPOTENT -> false;
-            case DEDUPLICATED -> now + tickNs < ran.sentAt + q.track.windowNs && sharesMarks(q, ran.node, n);
-        };
-    }
-
-    private static boolean sharesMarks(Qry q, Node a, Node b) {
-        return switch (q.track.scope) {
-            case ALL -> true;
-            case ZONE -> a.entry.zone().equals(b.entry.zone());
-            case CELL -> a.entry.cell().equals(b.entry.cell());
+            case DEDUPLICATED -> remembered(q, ran) && switch (q.track.scope) {
+                case ALL -> true;
+                case ZONE -> ran.node.entry.zone().equals(n.entry.zone());
+                case CELL -> ran.node.entry.cell().equals(n.entry.cell());
+            };
         };
     }
 
-    private boolean mayRunAgain(Qry q) {
-        return q.execs.size() < mostExecutions && (q.mayHaveRun == null || q.track.effect == Effect.IDEMPOTENT
-            || q.track.effect == Effect.DEDUPLICATED && now + tickNs < q.mayHaveRun.sentAt + q.track.windowNs);
+    private boolean remembered(Qry q, Exec ran) {
+        return now + tickNs < ran.sentAt + q.track.windowNs;
     }
 
     private boolean mayReject(Qry q) {
-        return q.track.effect == Effect.IDEMPOTENT || q.mayHaveRun == null && q.out == 0
-            || q.track.effect == Effect.DEDUPLICATED && q.track.scope == DedupScope.ALL && q.out == 0
-            && now + tickNs < q.mayHaveRun.sentAt + q.track.windowNs;
+        return q.track.effect == Effect.IDEMPOTENT || q.out == 0 && (q.mayHaveRun == null
+            || q.track.effect == Effect.DEDUPLICATED && q.track.scope == DedupScope.ALL
+            && remembered(q, q.mayHaveRun));
     }
 
     private void giveUp(Qry q) {
         boolean reject = mayReject(q);
-        stopAll(q);
+        q.execs.forEach(this::stop);
         close(q);
-        long back = comeBack ? (long) (q.track.sloNs * COME_BACK * (0.5 + random.nextDouble())) : 0;
+        long back = (long) (q.track.sloNs * COME_BACK * (0.5 + random.nextDouble()));
         decisions.answers.add(new Decisions.Answer(q.id, reject,
-            reject ? Math.min(maxComeBackNs, q.beyondShare ? maxComeBackNs : back) : 0));
+            !reject ? 0 : q.beyondShare ? maxComeBackNs : Math.min(maxComeBackNs, back)));
     }
 
     private void close(Qry q) {
         if (!q.done) {
             q.done = true;
             release(q);
-            queries.remove(q.id);
-            if (q.out == 0 || !q.write) {
-                fetch.over(q);
-            }
+            fetch.over(q);
+            forget(q);
         }
     }
 
-    private void stopAll(Qry q) {
-        for (Exec e : q.execs) {
-            if (e.out) {
-                stop(e);
-            }
+    private void forget(Qry q) {
+        if (q.done && q.out == 0) {
+            queries.remove(q.id);
         }
     }
 
     private void stop(Exec e) {
-        if (cancels && !e.stopped) {
+        if (e.out && cancels && !e.stopped) {
             e.stopped = true;
             decisions.stops.add(new Decisions.Stop(e.qry.id, e.number));
         }
@@ -730,10 +649,9 @@
     }
 
     private void heldLongEnough(Qry q) {
-        Hold why = q.hold;
-        if (why == Hold.PROBES) {
+        if (q.hold == Hold.PROBES) {
             choice.waited(q);
-        } else if (why == Hold.PAUSE && now < q.sloAt) {
+        } else if (q.hold == Hold.PAUSE && now < q.sloAt) {
             release(q);
             first.pass(q);
         } else {
@@ -744,7 +662,7 @@
     // ---- figures
 
     private boolean fresh(Node n) {
-        return now - n.reportedAt < FRESH_NS && !Double.isNaN(n.reported);
+        return now - n.reportedAt < FRESH_NS;
     }
 
     /** The queue figure: what was reported plus what was sent since, or what is out from here. */
@@ -755,14 +673,14 @@
     /** Time per query in the figure, as completed ones showed it; of the scope of the figure. */
     private double pace(Node n) {
         int s = fresh(n) ? 1 : 0;
-        double usual = (allTook[s].read(now) + PRIOR * shortestSloNs * WAIT_SHARE / CANDIDATES)
-            / (allDepth[s].read(now) + PRIOR);
+        Fading seen = n.pace[s].at(now);
+        double usual = allPace[s].ratio(now, PRIOR, shortestSloNs * WAIT_SHARE / CANDIDATES);
         // a node that falls silent slows down before any of its executions has ended
-        return (n.took[s].read(now) + PRIOR * usual + unanswered(n)) / (n.depth[s].read(now) + PRIOR);
+        return (seen.top + PRIOR * usual + unanswered(n)) / (seen.bottom + PRIOR);
     }
 
     private double limit(Node n, double waitNs) {
-        return Math.max(waitNs > 1 ? LEAST_LIMIT : 0, waitNs / pace(n));
+        return Math.max(LEAST_LIMIT, waitNs / pace(n));
     }
 
     private double expected(Node n, int ahead) {
@@ -770,9 +688,8 @@
     }
 
     private long probeWait() {
-        double trip = probeEnds.read(now) < 1 ? 0 : probeTimes.read(now) / probeEnds.read(now);
-        return Math.max(PROBE_WAIT_NS, Math.min((long) (PROBE_TRIPS * trip),
-            (long) (PROBE_WAIT_SHARE * shortestSloNs)));
+        double trip = probeTrips.ratio(now, 1, 0);
+        return Math.max(PROBE_WAIT_NS, (long) Math.min(PROBE_TRIPS * trip, PROBE_WAIT_SHARE * shortestSloNs));
     }
 
     private void probe(Node n) {
@@ -789,7 +706,6 @@
             n.reportedAt = now;
             n.sentSince = 0;
         }
-        n.busy = load.busy();
     }
 
     // ---- health
@@ -797,14 +713,12 @@
     private void judge(Exec e, Outcome outcome, CacheNote note) {
         Node n = e.node;
         long took = now - e.sentAt;
-        boolean answered = switch (outcome) {
-            case COMPLETED, ERROR, TURNED_AWAY, MISS -> true;
-            default -> false;
-        };
+        boolean answered = outcome == Outcome.COMPLETED || outcome == Outcome.ERROR
+            || outcome == Outcome.TURNED_AWAY || outcome == Outcome.MISS;
         if (answered) {
             n.lastAnswerAt = now;
             // work turned away is not carried: counted, it made cold nodes of a lost data centre fall over
-            n.carried.add(now, outcome == Outcome.TURNED_AWAY ? 0 : 1);
+            n.load.add(now, 0, outcome == Outcome.TURNED_AWAY ? 0 : 1);
         }
         boolean fetched = originKind == null && (note == CacheNote.MISS || e.qry.write);
         boolean paced = outcome == Outcome.COMPLETED && !fetched;
@@ -813,44 +727,40 @@
             paced = true;
         }
         if (paced) {
-            n.took[e.scope].add(now, took);
-            n.depth[e.scope].add(now, e.depth + 1);
-            if (n != origin) {
-                allTook[e.scope].add(now, took);
-                allDepth[e.scope].add(now, e.depth + 1);
-            }
-        }
-        if (n != origin && outcome == Outcome.COMPLETED) {
-            allEnds.add(now, 1);
-            allTimes.add(now, took);
+            n.pace[e.scope].add(now, took, e.depth + 1);
         }
         if (n == origin || outcome == Outcome.NEVER_SENT || e.stopped && outcome == Outcome.CANCELLED) {
             return;
         }
+        if (paced) {
+            allPace[e.scope].add(now, took, e.depth + 1);
+        }
+        if (outcome == Outcome.COMPLETED) {
+            allTimes.add(now, took, 1);
+        }
         boolean late = paced && took > e.qry.track.sloNs;
         boolean failed = late || outcome == Outcome.ERROR && !fetched || outcome == Outcome.DROPPED
             || outcome == Outcome.NO_CONNECTION || outcome == Outcome.TIMED_OUT && n.lastAnswerAt < e.sentAt;
         if (failed) {
-            n.bad.add(now, 1);
-            if (n.trickle > 0 || n.bad.read(now) >= BAD_ENDS && badShare(n) > BAD_SHARE + 2 * usualBadShare()) {
+            n.bad.add(now, 1, 1);
+            if (n.trickle > 0 || n.bad.top >= BAD_ENDS && badShare(n) > BAD_SHARE + 2 * usualBadShare()) {
                 setAside(n);
             }
         } else if (answered && outcome != Outcome.TURNED_AWAY) {
-            n.good.add(now, 1);
+            n.bad.add(now, 0, 1);
             if (n.trickle > 0 && ++n.trickleGood >= n.trickle) {
                 n.trickle = n.trickle >= TRICKLE_END ? 0 : 2 * n.trickle;
                 n.trickleLeft = n.trickle;
                 n.trickleGood = 0;
                 n.pause = n.trickle == 0 ? PAUSE_NS : n.pause;
             }
-        } else if (n.trickle > 0) {
+        } else {
             n.trickleLeft = Math.max(1, n.trickleLeft);
         }
     }
 
     private double badShare(Node n) {
-        double bad = n.bad.read(now);
-        return bad / Math.max(1e-9, bad + n.good.read(now));
+        return n.bad.ratio(now, 0, 0);
     }
 
     /** The bad share of the better nodes: trouble that these have too is no node's own. */
@@ -867,8 +777,7 @@
         n.trickle = 1;
         n.trickleLeft = 1;
         n.trickleGood = 0;
-        n.good = new Decaying(MEMORY_NS);
-        n.bad = new Decaying(MEMORY_NS);
+        n.bad = new Fading(MEMORY_NS);
     }
 
     /** Time that the executions out at a node have spent since it last answered, all together. */
@@ -880,13 +789,9 @@
         return sum;
     }
 
-    private double usualTime() {
-        double usual = LEAST_SILENCE * shortestSloNs;
-        return Math.max(usual, (allTimes.read(now) + usual) / (allEnds.read(now) + 1));
-    }
-
     private boolean silent(Node n, double times) {
-        return unanswered(n) > times * usualTime();
+        double least = LEAST_USUAL * shortestSloNs;
+        return unanswered(n) > times * Math.max(least, allTimes.ratio(now, 1, least));
     }
 
     /** Nodes that take queries and answer none are set aside, and what may run again goes elsewhere. */
@@ -894,52 +799,40 @@
         List<Node> silent = new ArrayList<>();
         int ready = 0;
         for (Node n : nodes.values()) {
-            if (n != origin && n.entry.phase() == Phase.READY) {
-                ready++;
-                if (silent(n, n.probeFailedAt > n.lastAnswerAt ? SILENCE : 2 * SILENCE)) {
-                    silent.add(n);
-                } else if (silent(n, SILENCE / 2)) {
-                    probe(n);
-                }
-                if (n.trickle > 0 && !n.proven && now >= n.asideUntil) {
-                    probe(n);
-                }
+            if (n == origin || n.entry.phase() != Phase.READY) {
+                continue;
+            }
+            ready++;
+            // heavy queries looked like silence: half of that only asks, and a failed probe confirms
+            if (silent(n, n.probeFailedAt > n.lastAnswerAt ? SILENCE : 2 * SILENCE)) {
+                silent.add(n);
+            } else if (silent(n, SILENCE / 2) || n.trickle > 0 && !n.proven && now >= n.asideUntil) {
+                probe(n);
             }
         }
-        if (2 * silent.size() > ready) {
-            return;
-        }
-        for (Node n : silent) {
+        for (Node n : 2 * silent.size() > ready ? List.<Node>of() : silent) {
             if (n.asideUntil <= now) {
                 setAside(n);
             }
             for (Exec e : n.out) {
-                if (!e.qry.done && mayMove(e.qry)) {
+                Qry q = e.qry;
+                if (!q.done && q.track.effect != Effect.NON_IDEMPOTENT && q.execs.size() < mostExecutions) {
                     stop(e);
                 }
             }
         }
     }
 
-    private boolean mayMove(Qry q) {
-        return q.track.effect != Effect.NON_IDEMPOTENT && q.execs.size() < mostExecutions
-            && !(q.write && originKind != null);
-    }
-
     // ---- candidates
 
     private boolean ready(Node n, Qry q) {
-        if (n.entry.phase() != Phase.READY || now < n.asideUntil || q.avoid.contains(n)) {
-            return false;
-        }
         boolean idempotent = q.track.effect == Effect.IDEMPOTENT;
-        if (n.trickle > 0 && (!idempotent || n.trickleLeft <= 0 || !n.proven)) {
-            return false;
-        }
-        return (idempotent || !silent(n, SILENCE / 2)) && hasRoomWhileCold(n);
+        boolean trickling = n.trickle > 0 && (!idempotent || n.trickleLeft <= 0 || !n.proven);
+        return n.entry.phase() == Phase.READY && now >= n.asideUntil && !trickling && !q.avoid.contains(n)
+            && (idempotent || !silent(n, SILENCE / 2)) && hasRoomWhileCold(n);
     }
 
-    /** A cold node takes its part of what warm ones get from here, growing with its stated warm-up. */
+    /** A cold node takes its part of what warm ones carry from here, growing with its stated warm-up. */
     private boolean hasRoomWhileCold(Node n) {
         long age = now - n.entry.startedNs();
         if (n.entry.startedNs() == 0 || age >= coldNs) {
@@ -948,13 +841,13 @@
         double warm = 0, weight = 0;
         for (Node o : nodes.values()) {
             if (o != origin && o.entry.phase() == Phase.READY && now - o.entry.startedNs() >= coldNs) {
-                warm += o.carried.read(now);
+                warm += o.load.at(now).bottom;
                 weight += weight(o);
             }
         }
         double share = startCapacity + (1 - startCapacity) * Math.max(0, age) / coldNs;
         double room = weight == 0 ? 1 : share * warm / weight * weight(n);
-        return n.sent.read(now) < Math.max(1, room);
+        return n.load.at(now).top < Math.max(1, room);
     }
 
     private double weight(Node n) {
@@ -963,31 +856,22 @@
     }
 
     private List<Node> candidates(Qry q) {
-        List<Node> found = new ArrayList<>(CANDIDATES);
-        walk(q, found, true);
-        if (found.isEmpty()) {
-            walk(q, found, false);
-        }
-        return found;
+        List<Node> found = walk(q, true);
+        return found.isEmpty() ? walk(q, false) : found;
     }
 
-    private void walk(Qry q, List<Node> found, boolean onlyReady) {
-        int lo = 0, hi = ring.length;
-        while (lo < hi) {
-            int mid = lo + hi >>> 1;
-            if (ring[mid].at < q.point) {
-                lo = mid + 1;
-            } else {
-                hi = mid;
-            }
-        }
+    /** The first distinct nodes clockwise from the key; where none is ready, those that may be sent to. */
+    private List<Node> walk(Qry q, boolean onlyReady) {
+        List<Node> found = new ArrayList<>(CANDIDATES);
+        int at = Arrays.binarySearch(ring, new Point(q.point, null), Comparator.comparingLong(Point::at));
+        int from = at < 0 ? -at - 1 : at;
         for (int i = 0; i < ring.length && found.size() < CANDIDATES; i++) {
-            Node n = ring[(lo + i) % ring.length].node;
-            if (!found.contains(n) && (onlyReady ? ready(n, q) : n.entry.phase() == Phase.READY
-                && hasRoomWhileCold(n) && (q.execs.isEmpty() || maySend(q, n)))) {
+            Node n = ring[(from + i) % ring.length].node;
+            if (!found.contains(n) && (onlyReady ? ready(n, q) : hasRoomWhileCold(n) && maySend(q, n))) {
                 found.add(n);
             }
         }
+        return found;
     }
 
     private void buildRing() {
@@ -995,21 +879,17 @@
         List<Node> caches = new ArrayList<>();
         for (Node n : nodes.values()) {
             if (n.entry.kind().equals(originKind)) {
-                origin = n.entry.phase() == Phase.READY || origin == null ? n : origin;
+                origin = origin == null || n.entry.phase() == Phase.READY ? n : origin;
             } else if (n.entry.phase() == Phase.READY) {
                 caches.add(n);
             }
         }
         double mean = caches.stream().mapToDouble(this::weight).average().orElse(1);
-        List<Point> points = new ArrayList<>();
-        for (Node n : caches) {
-            long count = Math.max(1, Math.round(POINTS * Math.min(CANDIDATES, weight(n) / mean)));
-            for (long i = 0; i < count; i++) {
-                points.add(new Point(mix(mix(n.entry.id().value()) + i), n));
-            }
-        }
-        points.sort(Comparator.comparingLong(Point::at).thenComparingLong(p -> p.node.entry.id().value()));
-        ring = points.toArray(Point[]::new);
+        ring = caches.stream().flatMap(n -> IntStream.rangeClosed(1, (int) Math.max(1, Math.round(POINTS
+                * Math.min(CANDIDATES, weight(n) / mean))))
+                .mapToObj(i -> new Point(mix(mix(n.entry.id().value()) + i), n)))
+            .sorted(Comparator.comparingLong(Point::at).thenComparingLong(p -> p.node.entry.id().value()))
+            .toArray(Point[]::new);
     }
 
     /** Spreads the bits of an id evenly (the finisher of SplitMix64). */
--- a/src/main/java/spurroad/wirehost/WireHost.java
+++ b/src/main/java/spurroad/wirehost/WireHost.java
@@ -36,7 +36,7 @@
     private static final int HEADER_BYTES = 16, RECORD_BYTES = 5, ENTRY_BYTES = 23, NODE_BYTES = 6;
     private static final int MAX_FRAME_BYTES = 1 << 28, MAX_TEXT_BYTES = 2_000;
     private static final int SCOPE_DELTA = 0, SCOPE_FAILED = 3;
-    private static final int HINT_BIT = 1, RETRY_BIT = 2, WRITE_BIT = 4;
+    private static final int HINT_BIT = 1, WRITE_BIT = 4;
     private static final long NS_PER_US = 1_000L, MAX_U32 = 0xffffffffL;
     private static final Outcome[] OUTCOMES = Outcome.values();
     private static final CacheNote[] NOTES = CacheNote.values();
@@ -180,18 +180,18 @@
                 CacheKey key = new CacheKey(f.getLong());
                 long budget = (f.getInt() & MAX_U32) * NS_PER_US;
                 return () -> to.arrived(now, query, track, customer, key, (bits & WRITE_BIT) != 0,
-                    (bits & RETRY_BIT) != 0, (bits & HINT_BIT) != 0 ? work : 0, budget, decisions);
+                    (bits & HINT_BIT) != 0 ? work : 0, budget, decisions);
             }
             case SETTLED: {
                 QueryId query = new QueryId(f.getLong());
                 boolean last = f.get() != 0;
                 int execution = f.get() & 0xff;
-                long took = (f.getInt() & MAX_U32) * NS_PER_US;
+                f.getInt();
                 node(f);
                 CacheNote note = NOTES[Math.min(f.get() & 0xff, NOTES.length - 1)];
                 Outcome outcome = outcome(f);
                 LoadReport load = load(f, host.columns);
-                return () -> to.ended(now, query, execution, outcome, note, took, load, last, decisions);
+                return () -> to.ended(now, query, execution, outcome, note, load, last, decisions);
             }
             case CHECKED: {
                 NodeId node = node(f);
