--- a/src/main/java/spurroad/Balance.java
+++ b/src/main/java/spurroad/Balance.java
@@ -1,160 +1,50 @@
 package spurroad;
 
 import java.util.*;
-import java.util.stream.IntStream;
 import spurroad.model.*;
 
 /**
- * All decisions of one proxy. The host makes one instance per proxy from the start figures and a seed, calls it
- * from one thread, once for each thing that happens, with the time of that thing, and carries out what the
- * call put into {@link Decisions}; it calls {@link #reached} at {@code wakeNs}. The interface is the public
- * methods below with the types of {@code spurroad.model}; the mechanism is told in docs/design.md.
+ * All decisions of one proxy. Its host makes one instance per proxy from the start figures and a seed, calls
+ * it from one thread, once for each thing that happens, with the time of that thing, carries out what the call
+ * put into {@link Decisions} and calls {@link #reached} at {@code wakeNs}. The interface is the public methods
+ * below with the types of {@code spurroad.model}; docs/design.md tells the mechanism.
  */
 public final class Balance {
-    // Candidates of a key: the design's figure.
-    private static final int CANDIDATES = 3;
-    // Ring points of a node of mean weight: shares then differ by about a tenth, and a walk stays short.
-    private static final int POINTS = 96;
-    // ns; a reported figure counts while younger: the design asks for under a second.
-    private static final long FRESH_NS = 900_000_000L;
-    // ns; the wait for probes starts here, the design's figure.
-    private static final long PROBE_WAIT_NS = 20_000_000L;
-    // times the mean probe round trip, and share of the shortest SLO time: the wait on a slower network.
-    private static final double PROBE_TRIPS = 1.5, PROBE_WAIT_SHARE = 0.05;
-    // queries; the soft limit is never lower, the design's figure.
-    private static final double LEAST_LIMIT = 2;
-    // share of the track's SLO time: the queueing a cache node may show before other candidates are asked.
-    private static final double WAIT_SHARE = 0.25;
-    // share of the shortest SLO time: what the origin's queue may take before queries are kept here.
-    private static final double ORIGIN_SHARE = 0.5;
-    // queries; before any are seen a node counts as having completed this many at the usual pace.
-    private static final double PRIOR = 2;
-    // ns; how far back pace and health are remembered (tens of queries a node), and a customer's rate.
-    private static final long MEMORY_NS = 4_000_000_000L, RATE_NS = 2_000_000_000L;
-    // bad ends, and their share above twice that of the better nodes, that set a node aside: not one mishap.
-    private static final double BAD_ENDS = 1.5, BAD_SHARE = 0.3;
-    // ns; first and longest pause of a node set aside: short beside a fault, long beside a time-out.
-    private static final long PAUSE_NS = 500_000_000L, LONGEST_PAUSE_NS = 4_000_000_000L;
-    // queries; a trickle that has doubled beyond this is an ordinary flow again.
-    private static final int TRICKLE_END = 8;
-    // times the usual time, summed over what is out: silence that chance hardly makes.
-    private static final double SILENCE = 6;
-    // share of the shortest SLO time: the usual time is not taken to be shorter.
-    private static final double LEAST_USUAL = 0.1;
-    // ns; how often silence is looked for while executions are out: short beside any time-out.
-    private static final long SWEEP_NS = 50_000_000L;
-    // further executions for each first one, and how many are saved up: failures must not multiply load.
-    private static final double FURTHER = 0.2, FURTHER_MOST = 20;
-    // share of the soft limit that queries beyond a customer's share may fill: they are shed first.
-    private static final double BEYOND_SHARE = 0.5;
-    // share of the SLO time after which a rejected client is asked back: a queue has moved on by then.
-    private static final double COME_BACK = 0.5;
-    // ns; first and longest pause before subscribing to the list again: the list is one service for all.
-    private static final long FOLLOW_NS = 500_000_000L, LONGEST_FOLLOW_NS = 8_000_000_000L;
-
-    private enum Hold { NONE, PROBES, ORIGIN, FETCH, PAUSE }
-
-    /** Two sums that lose their weight evenly with time, brought up to date when read. */
-    private static final class Fading {
-        private final double memory;
-        private double top, bottom;
-        private long at;
-
-        private Fading(long memoryNs) {
-            memory = memoryNs;
-        }
-
-        private Fading at(long now) {
-            if (now > at) {
-                double kept = Math.exp((at - now) / memory);
-                top *= kept;
-                bottom *= kept;
-                at = now;
-            }
-            return this;
-        }
-
-        private void add(long now, double moreTop, double moreBottom) {
-            at(now).top += moreTop;
-            bottom += moreBottom;
-        }
-
-        /** The ratio of the sums, as if `weight` of it had been `usual`. */
-        private double ratio(long now, double weight, double usual) {
-            return (at(now).top + weight * usual) / Math.max(1e-9, bottom + weight);
-        }
-    }
-
-    private static final class Node {
-        private NodeEntry entry;
-        private double reported = Double.NaN;
-        private long reportedAt = Long.MIN_VALUE / 2;
-        private long lastAnswerAt, probeFailedAt, asideUntil, pause = PAUSE_NS;
-        private int sentSince, trickle, trickleLeft, trickleGood;
-        private boolean probing, proven = true;
-        private final List<Exec> out = new ArrayList<>();
-        // times of completed queries over the figures they met, by whether those were the stand-in or reported
-        private final Fading[] pace = {new Fading(MEMORY_NS), new Fading(MEMORY_NS)};
-        private Fading bad = new Fading(MEMORY_NS);
-        private final Fading load;
-
-        private Node(NodeEntry entry, long loadNs) {
-            this.entry = entry;
-            load = new Fading(loadNs);
-        }
-    }
-
-    private static final class Exec {
-        private Qry qry;
-        private Node node;
-        private int number, scope;
-        private long sentAt;
-        private double depth;
-        private boolean out = true, stopped;
-    }
-
-    private static final class Qry {
-        private QueryId id;
-        private TrackFigures track;
-        private CacheKey key;
-        private long order, point, sloAt, endAt;
-        private boolean beyondShare, write, missed, pausedForFetch, served, done;
-        private final List<Exec> execs = new ArrayList<>(2);
-        private int out, holds;
-        private Exec mayHaveRun;
-        private Hold hold = Hold.NONE;
-        private List<Node> candidates = List.of();
-        private final Set<Node> asked = new HashSet<>(4);
-        private boolean answered;
-        private final List<Node> avoid = new ArrayList<>(2);
-        private Node target;
-    }
-
-    /** What decisions need of a track. */
-    private record TrackFigures(Effect effect, DedupScope scope, long windowNs, long sloNs, double sloStretch,
-                                double importance, boolean lateCounts, double waitNs) { }
+    static final int CANDIDATES = 3; // nodes; the design's figure
+    static final int POINTS = 96; // ring points of a mean node: shares differ by a tenth, walks stay short
+    static final long FRESH_NS = 900_000_000L; // ns; age of a figure: the design asks for under a second
+    static final long PROBE_WAIT_NS = 20_000_000L; // ns; the design's start
+    static final double PROBE_TRIPS = 1.5; // times the mean probe round trip: the wait on a slower network
+    static final double PROBE_WAIT_SHARE = 0.05; // of the shortest SLO time: the longest such wait
+    static final double LEAST_LIMIT = 2; // queries; the design's floor of the soft limit
+    static final double WAIT_SHARE = 0.25; // of the SLO time: queueing at a node before others are asked
+    static final double ORIGIN_SHARE = 0.5; // of the shortest SLO time: queueing at the origin, not here
+    static final double PRIOR = 2; // queries; a node counts as having completed so many at the usual pace
+    static final long MEMORY_NS = 4_000_000_000L; // ns; pace and health: some tens of queries a node
+    static final long RATE_NS = 2_000_000_000L; // ns; a customer's rate: longer than chance, short of a burst
+    static final double BAD_ENDS = 1.5; // bad ends that set a node aside: not one mishap
+    static final double BAD_SHARE = 0.3; // of its ends, above twice that of the better nodes
+    static final long PAUSE_NS = 500_000_000L; // ns; first pause of a node set aside: short beside a fault
+    static final long LONGEST_PAUSE_NS = 4_000_000_000L; // ns; a node that is well again waits no longer
+    static final int TRICKLE_END = 8; // queries; a trickle doubled beyond this is an ordinary flow
+    static final double SILENCE = 6; // times the usual time, over all that is out: chance hardly makes it
+    static final double LEAST_USUAL = 0.1; // of the shortest SLO time: the usual time is not taken shorter
+    static final long SWEEP_NS = 50_000_000L; // ns; how often silence is looked for: short beside time-outs
+    static final double FURTHER = 0.2; // further executions a first one allows: failures do not multiply
+    static final double FURTHER_MOST = 20; // further executions saved up: a node's worth of losses at once
+    static final double BEYOND_SHARE = 0.5; // of the soft limit, for queries beyond a customer's share
+    static final double COME_BACK = 0.5; // of the SLO time until a rejected client may try: queues have moved
+    static final long FOLLOW_NS = 500_000_000L; // ns; first pause before following the list again
+    static final long LONGEST_FOLLOW_NS = 8_000_000_000L; // ns; the list is one service for all proxies
 
     private record Due(long at, long order, Qry qry, int hold) { }
 
-    private record Point(long at, Node node) { }
-
-    /** A link of the chain: queries pass forward, ended executions come back. */
-    private abstract static class Stage {
-        Stage next, previous;
-
-        abstract void pass(Qry q);
-
-        void back(Qry q, Exec e, Outcome outcome, CacheNote note) {
-            previous.back(q, e, outcome, note);
-        }
-    }
-
     private final Random random;
     private final TrackFigures[] tracks;
     private final double[] customerPace;
     private final Fading[] customerSent;
     private final KindId originKind;
-    private final boolean mustAsk, weighted, probes, cancels, secondCopies;
+    private final boolean mustAsk, probes, cancels, secondCopies;
     private final long maxComeBackNs, coldNs, fallNs, tickNs, shortestSloNs;
     private final int mostExecutions;
     private final double startCapacity;
@@ -163,13 +53,13 @@
     private final Choice choice = new Choice();
     private final Sending sending = new Sending();
     private final Map<NodeId, Node> nodes = new LinkedHashMap<>();
-    private Point[] ring = {};
+    private Ring ring = new Ring();
     private Node origin;
     private final Map<QueryId, Qry> queries = new HashMap<>();
     private final PriorityQueue<Due> agenda =
         new PriorityQueue<>(Comparator.comparingLong(Due::at).thenComparingLong(Due::order));
     private final TreeSet<Qry> waiting = new TreeSet<>(Comparator.comparing((Qry q) -> q.beyondShare)
-        .thenComparing(q -> -q.track.importance).thenComparing(q -> !q.write).thenComparing(q -> q.order));
+        .thenComparing(q -> -q.track.importance()).thenComparing(q -> !q.write).thenComparing(q -> q.order));
     private final Fading[] allPace = {new Fading(MEMORY_NS), new Fading(MEMORY_NS)};
     private final Fading allTimes = new Fading(MEMORY_NS), probeTrips = new Fading(MEMORY_NS);
     private final List<Qry> probingQueries = new ArrayList<>();
@@ -182,16 +72,15 @@
 
     public Balance(Deployment start, long seed) {
         random = new Random(seed);
-        tracks = start.tracks().stream().map(t -> new TrackFigures(t.effect(), t.dedupScope(), t.dedupWindowNs(),
-            t.sloNs(), t.sloStretch(), t.importance(), t.lateShare() > 0, WAIT_SHARE * t.sloNs()))
-            .toArray(TrackFigures[]::new);
+        tracks = start.tracks().stream().map(t -> new TrackFigures(t.effect(), t.dedupScope(),
+            t.dedupWindowNs(), t.sloNs(), t.sloStretch(), t.importance(), t.lateShare() > 0,
+            WAIT_SHARE * t.sloNs())).toArray(TrackFigures[]::new);
         shortestSloNs = start.tracks().stream().mapToLong(Track::sloNs).min().orElse(FRESH_NS);
         customerPace = start.allowancePerS().stream().mapToDouble(a -> a / start.proxies()).toArray();
         customerSent = new Fading[customerPace.length];
         Arrays.setAll(customerSent, i -> new Fading(RATE_NS));
         originKind = start.originKind();
         mustAsk = start.mustAsk();
-        weighted = start.weighted();
         probes = start.probes();
         cancels = start.cancels();
         secondCopies = start.secondCopies();
@@ -218,7 +107,7 @@
             named.add(e.id());
             Node n = nodes.get(e.id());
             if (n == null || n.entry.startedNs() != e.startedNs()) {
-                nodes.put(e.id(), new Node(e, fallNs));
+                nodes.put(e.id(), new Node(e, MEMORY_NS, fallNs, PAUSE_NS));
             } else {
                 n.entry = e;
             }
@@ -226,7 +115,7 @@
         for (Node n : nodes.values()) {
             NodeEntry e = n.entry;
             if (complete && !named.contains(e.id())) {
-                n.entry = new NodeEntry(e.id(), e.kind(), e.zone(), e.cell(), e.startedNs(), e.weight(), Phase.GONE);
+                n.entry = e.gone();
             }
         }
         buildRing();
@@ -255,10 +144,10 @@
         q.track = tracks[Math.min(track.value(), tracks.length - 1)];
         q.key = key;
         q.order = order++;
-        q.point = key.value() == 0 ? random.nextLong() : mix(key.value());
+        q.point = key.value() == 0 ? random.nextLong() : Ring.mix(key.value());
         q.write = write;
         q.endAt = now + budgetNs;
-        q.sloAt = Math.min(q.endAt, now + q.track.sloNs + (long) (q.track.sloStretch * workNs));
+        q.sloAt = Math.min(q.endAt, now + q.track.sloNs() + (long) (q.track.sloStretch() * workNs));
         int c = customer.value();
         if (c >= 0 && c < customerPace.length) {
             customerSent[c].add(now, 1, 0);
@@ -315,7 +204,6 @@
         begin(at, into);
         Qry q = queries.get(id);
         if (q != null) {
-            q.execs.forEach(this::stop);
             close(q);
         }
         finish();
@@ -357,7 +245,6 @@
 
     /** Takes a query in and owes its final answer. */
     private final class Entry extends Stage {
-        @Override
         void pass(Qry q) {
             if (q.endAt <= now + tickNs) {
                 giveUp(q);
@@ -372,7 +259,7 @@
                 return;
             }
             boolean unseen = outcome.provesNotRun();
-            boolean inTime = now + tickNs < (q.track.lateCounts ? q.endAt : q.sloAt);
+            boolean inTime = now + tickNs < (q.track.lateCounts() ? q.endAt : q.sloAt);
             // storms: queries turned away everywhere went on to every node (first incidents)
             boolean allFull = outcome == Outcome.TURNED_AWAY && q.avoid.size() >= CANDIDATES;
             if (allFull || outcome == Outcome.NEVER_SENT || !inTime || !unseen && further < 1) {
@@ -389,7 +276,6 @@
         private final Map<CacheKey, Qry> leaders = new HashMap<>();
         private final Map<Qry, List<Qry>> followers = new HashMap<>();
 
-        @Override
         void pass(Qry q) {
             if (originKind == null || !q.write && !q.missed) {
                 next.pass(q);
@@ -455,9 +341,9 @@
 
     /** The mechanism of the design: soft limit, probes, lowest queue, random. */
     private final class Choice extends Stage {
-        @Override
         void pass(Qry q) {
-            List<Node> c = candidates(q);
+            List<Node> c = walk(q, true);
+            c = c.isEmpty() ? walk(q, false) : c;
             if (c.isEmpty()) {
                 giveUp(q);
                 return;
@@ -480,7 +366,7 @@
         }
 
         private boolean underLimit(Node n, Qry q) {
-            return figure(n) < limit(n, q.track.waitNs);
+            return figure(n) < limit(n, q.track.waitNs());
         }
 
         private void heard(Qry q, Node n, boolean answered) {
@@ -512,9 +398,9 @@
         }
 
         private void to(Qry q, Node n) {
-            boolean crowded = figure(n) >= BEYOND_SHARE * limit(n, q.track.waitNs);
+            boolean crowded = figure(n) >= BEYOND_SHARE * limit(n, q.track.waitNs());
             boolean late = expected(n, 0) > q.sloAt - now;
-            if (q.beyondShare && crowded || late && !q.track.lateCounts && q.execs.isEmpty()) {
+            if (q.beyondShare && crowded || late && !q.track.lateCounts() && q.execs.isEmpty()) {
                 giveUp(q);
                 return;
             }
@@ -525,20 +411,13 @@
 
     /** Starts executions under the rules of their track, and learns from their ends. */
     private final class Sending extends Stage {
-        @Override
         void pass(Qry q) {
             Node n = q.target;
             if (!maySend(q, n)) {
                 giveUp(q);
                 return;
             }
-            Exec e = new Exec();
-            e.qry = q;
-            e.node = n;
-            e.number = q.execs.size();
-            e.sentAt = now;
-            e.scope = fresh(n) ? 1 : 0;
-            e.depth = figure(n);
+            Exec e = new Exec(q, n, q.execs.size(), now, fresh(n) ? 1 : 0, figure(n));
             q.execs.add(e);
             n.out.add(e);
             q.out++;
@@ -546,7 +425,7 @@
             n.sentSince++;
             n.load.add(now, 1, 0);
             n.trickleLeft -= n.trickle > 0 ? 1 : 0;
-            long until = q.track.lateCounts || q.write ? q.endAt : q.sloAt;
+            long until = q.track.lateCounts() || q.write ? q.endAt : q.sloAt;
             decisions.starts.add(new Decisions.Start(q.id, n.entry.id(), until - now));
         }
 
@@ -575,15 +454,16 @@
     // ---- rules by the kind of track: the only place that says what may be sent or answered
 
     private boolean maySend(Qry q, Node n) {
-        if (q.execs.size() >= mostExecutions || q.out > 0 && !secondCopies || n.entry.phase() != Phase.READY) {
+        if (q.execs.size() >= mostExecutions || q.out > 0 && !secondCopies
+            || n.entry.phase() != Phase.READY) {
             return false;
         }
         Exec ran = q.mayHaveRun != null ? q.mayHaveRun
             : q.execs.stream().filter(e -> e.out).findFirst().orElse(null);
-        return ran == null || switch (q.track.effect) {
+        return ran == null || switch (q.track.effect()) {
             case IDEMPOTENT -> true;
             case NON_IDEMPOTENT -> false;
-            case DEDUPLICATED -> remembered(q, ran) && switch (q.track.scope) {
+            case DEDUPLICATED -> remembered(q, ran) && switch (q.track.scope()) {
                 case ALL -> true;
                 case ZONE -> ran.node.entry.zone().equals(n.entry.zone());
                 case CELL -> ran.node.entry.cell().equals(n.entry.cell());
@@ -592,20 +472,19 @@
     }
 
     private boolean remembered(Qry q, Exec ran) {
-        return now + tickNs < ran.sentAt + q.track.windowNs;
+        return now + tickNs < ran.sentAt + q.track.windowNs();
     }
 
     private boolean mayReject(Qry q) {
-        return q.track.effect == Effect.IDEMPOTENT || q.out == 0 && (q.mayHaveRun == null
-            || q.track.effect == Effect.DEDUPLICATED && q.track.scope == DedupScope.ALL
+        return q.track.effect() == Effect.IDEMPOTENT || q.out == 0 && (q.mayHaveRun == null
+            || q.track.effect() == Effect.DEDUPLICATED && q.track.scope() == DedupScope.ALL
             && remembered(q, q.mayHaveRun));
     }
 
     private void giveUp(Qry q) {
         boolean reject = mayReject(q);
-        q.execs.forEach(this::stop);
         close(q);
-        long back = (long) (q.track.sloNs * COME_BACK * (0.5 + random.nextDouble()));
+        long back = (long) (q.track.sloNs() * COME_BACK * (0.5 + random.nextDouble()));
         decisions.answers.add(new Decisions.Answer(q.id, reject,
             !reject ? 0 : q.beyondShare ? maxComeBackNs : Math.min(maxComeBackNs, back)));
     }
@@ -613,6 +492,7 @@
     private void close(Qry q) {
         if (!q.done) {
             q.done = true;
+            q.execs.forEach(this::stop);
             release(q);
             fetch.over(q);
             forget(q);
@@ -723,7 +603,7 @@
         boolean fetched = originKind == null && (note == CacheNote.MISS || e.qry.write);
         boolean paced = outcome == Outcome.COMPLETED && !fetched;
         if (n == origin && (outcome == Outcome.TIMED_OUT || outcome == Outcome.TURNED_AWAY)) {
-            took = Math.max(took, e.qry.track.sloNs);
+            took = Math.max(took, e.qry.track.sloNs());
             paced = true;
         }
         if (paced) {
@@ -738,12 +618,12 @@
         if (outcome == Outcome.COMPLETED) {
             allTimes.add(now, took, 1);
         }
-        boolean late = paced && took > e.qry.track.sloNs;
+        boolean late = paced && took > e.qry.track.sloNs();
         boolean failed = late || outcome == Outcome.ERROR && !fetched || outcome == Outcome.DROPPED
             || outcome == Outcome.NO_CONNECTION || outcome == Outcome.TIMED_OUT && n.lastAnswerAt < e.sentAt;
         if (failed) {
             n.bad.add(now, 1, 1);
-            if (n.trickle > 0 || n.bad.top >= BAD_ENDS && badShare(n) > BAD_SHARE + 2 * usualBadShare()) {
+            if (n.trickle > 0 || n.bad.top >= BAD_ENDS && n.bad.ratio(now, 0, 0) > BAD_SHARE + 2 * usualBadShare()) {
                 setAside(n);
             }
         } else if (answered && outcome != Outcome.TURNED_AWAY) {
@@ -759,14 +639,10 @@
         }
     }
 
-    private double badShare(Node n) {
-        return n.bad.ratio(now, 0, 0);
-    }
-
     /** The bad share of the better nodes: trouble that these have too is no node's own. */
     private double usualBadShare() {
         double[] shares = nodes.values().stream().filter(n -> n != origin && n.entry.phase() == Phase.READY)
-            .mapToDouble(this::badShare).sorted().toArray();
+            .mapToDouble(n -> n.bad.ratio(now, 0, 0)).sorted().toArray();
         return shares.length == 0 ? 0 : shares[shares.length / 4];
     }
 
@@ -816,7 +692,7 @@
             }
             for (Exec e : n.out) {
                 Qry q = e.qry;
-                if (!q.done && q.track.effect != Effect.NON_IDEMPOTENT && q.execs.size() < mostExecutions) {
+                if (!q.done && q.track.effect() != Effect.NON_IDEMPOTENT && q.execs.size() < mostExecutions) {
                     stop(e);
                 }
             }
@@ -826,7 +702,7 @@
     // ---- candidates
 
     private boolean ready(Node n, Qry q) {
-        boolean idempotent = q.track.effect == Effect.IDEMPOTENT;
+        boolean idempotent = q.track.effect() == Effect.IDEMPOTENT;
         boolean trickling = n.trickle > 0 && (!idempotent || n.trickleLeft <= 0 || !n.proven);
         return n.entry.phase() == Phase.READY && now >= n.asideUntil && !trickling && !q.avoid.contains(n)
             && (idempotent || !silent(n, SILENCE / 2)) && hasRoomWhileCold(n);
@@ -842,31 +718,20 @@
         for (Node o : nodes.values()) {
             if (o != origin && o.entry.phase() == Phase.READY && now - o.entry.startedNs() >= coldNs) {
                 warm += o.load.at(now).bottom;
-                weight += weight(o);
+                weight += o.entry.weight();
             }
         }
         double share = startCapacity + (1 - startCapacity) * Math.max(0, age) / coldNs;
-        double room = weight == 0 ? 1 : share * warm / weight * weight(n);
+        double room = weight == 0 ? 1 : share * warm / weight * n.entry.weight();
         return n.load.at(now).top < Math.max(1, room);
     }
 
-    private double weight(Node n) {
-        double w = n.entry.weight();
-        return weighted && w > 0 && w < Double.MAX_VALUE ? w : 1;
-    }
-
-    private List<Node> candidates(Qry q) {
-        List<Node> found = walk(q, true);
-        return found.isEmpty() ? walk(q, false) : found;
-    }
-
     /** The first distinct nodes clockwise from the key; where none is ready, those that may be sent to. */
     private List<Node> walk(Qry q, boolean onlyReady) {
         List<Node> found = new ArrayList<>(CANDIDATES);
-        int at = Arrays.binarySearch(ring, new Point(q.point, null), Comparator.comparingLong(Point::at));
-        int from = at < 0 ? -at - 1 : at;
-        for (int i = 0; i < ring.length && found.size() < CANDIDATES; i++) {
-            Node n = ring[(from + i) % ring.length].node;
+        int from = ring.from(q.point);
+        for (int i = 0; i < ring.size() && found.size() < CANDIDATES; i++) {
+            Node n = ring.at(from + i);
             if (!found.contains(n) && (onlyReady ? ready(n, q) : hasRoomWhileCold(n) && maySend(q, n))) {
                 found.add(n);
             }
@@ -884,19 +749,11 @@
                 caches.add(n);
             }
         }
-        double mean = caches.stream().mapToDouble(this::weight).average().orElse(1);
-        ring = caches.stream().flatMap(n -> IntStream.rangeClosed(1, (int) Math.max(1, Math.round(POINTS
-                * Math.min(CANDIDATES, weight(n) / mean))))
-                .mapToObj(i -> new Point(mix(mix(n.entry.id().value()) + i), n)))
-            .sorted(Comparator.comparingLong(Point::at).thenComparingLong(p -> p.node.entry.id().value()))
-            .toArray(Point[]::new);
-    }
-
-    /** Spreads the bits of an id evenly (the finisher of SplitMix64). */
-    private static long mix(long x) {
-        long z = x + 0x9e3779b97f4a7c15L;
-        z = (z ^ z >>> 30) * 0xbf58476d1ce4e5b9L;
-        z = (z ^ z >>> 27) * 0x94d049bb133111ebL;
-        return z ^ z >>> 31;
+        double mean = caches.stream().mapToDouble(n -> n.entry.weight()).average().orElse(1);
+        ring = new Ring();
+        for (Node n : caches) {
+            ring.add(n, (int) Math.max(1, Math.round(POINTS * Math.min(CANDIDATES, n.entry.weight() / mean))));
+        }
+        ring.close();
     }
 }
--- /dev/null
+++ b/src/main/java/spurroad/Exec.java
@@ -0,0 +1,20 @@
+package spurroad;
+
+/** One execution of a query, with the queue figure that it met and the scope of that figure. */
+final class Exec {
+    final Qry qry;
+    final Node node;
+    final int number, scope;
+    final long sentAt;
+    final double depth;
+    boolean out = true, stopped;
+
+    Exec(Qry qry, Node node, int number, long sentAt, int scope, double depth) {
+        this.qry = qry;
+        this.node = node;
+        this.number = number;
+        this.sentAt = sentAt;
+        this.scope = scope;
+        this.depth = depth;
+    }
+}
--- /dev/null
+++ b/src/main/java/spurroad/Fading.java
@@ -0,0 +1,32 @@
+package spurroad;
+
+/** Two sums that lose their weight evenly with time, brought up to date when read. */
+final class Fading {
+    private final double memory;
+    private long at;
+    double top, bottom;
+
+    Fading(long memoryNs) {
+        memory = memoryNs;
+    }
+
+    Fading at(long now) {
+        if (now > at) {
+            double kept = Math.exp((at - now) / memory);
+            top *= kept;
+            bottom *= kept;
+            at = now;
+        }
+        return this;
+    }
+
+    void add(long now, double moreTop, double moreBottom) {
+        at(now).top += moreTop;
+        bottom += moreBottom;
+    }
+
+    /** The ratio of the sums, as if `weight` of it had been `usual`. */
+    double ratio(long now, double weight, double usual) {
+        return (at(now).top + weight * usual) / Math.max(1e-9, bottom + weight);
+    }
+}
--- /dev/null
+++ b/src/main/java/spurroad/Node.java
@@ -0,0 +1,28 @@
+package spurroad;
+
+import java.util.ArrayList;
+import java.util.List;
+import spurroad.model.NodeEntry;
+
+/** What one proxy holds of a listed node. */
+final class Node {
+    NodeEntry entry;
+    double reported = Double.NaN;
+    long reportedAt = Long.MIN_VALUE / 2;
+    long lastAnswerAt, probeFailedAt, asideUntil, pause;
+    int sentSince, trickle, trickleLeft, trickleGood;
+    boolean probing, proven = true;
+    final List<Exec> out = new ArrayList<>();
+    // times of completed queries over the figures they met, by whether those were the stand-in or reported
+    final Fading[] pace;
+    Fading bad;
+    final Fading load;
+
+    Node(NodeEntry entry, long memoryNs, long loadNs, long pause) {
+        this.entry = entry;
+        this.pause = pause;
+        pace = new Fading[] {new Fading(memoryNs), new Fading(memoryNs)};
+        bad = new Fading(memoryNs);
+        load = new Fading(loadNs);
+    }
+}
--- /dev/null
+++ b/src/main/java/spurroad/Qry.java
@@ -0,0 +1,26 @@
+package spurroad;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import spurroad.model.CacheKey;
+import spurroad.model.QueryId;
+
+/** One query that a proxy has taken on. */
+final class Qry {
+    QueryId id;
+    TrackFigures track;
+    CacheKey key;
+    long order, point, sloAt, endAt;
+    boolean beyondShare, write, missed, pausedForFetch, served, done;
+    final List<Exec> execs = new ArrayList<>(2);
+    int out, holds;
+    Exec mayHaveRun;
+    Hold hold = Hold.NONE;
+    List<Node> candidates = List.of();
+    final Set<Node> asked = new HashSet<>(4);
+    boolean answered;
+    final List<Node> avoid = new ArrayList<>(2);
+    Node target;
+}
--- /dev/null
+++ b/src/main/java/spurroad/Stage.java
@@ -0,0 +1,15 @@
+package spurroad;
+
+import spurroad.model.CacheNote;
+import spurroad.model.Outcome;
+
+/** A link of the chain: queries pass forward, ended executions come back. */
+abstract class Stage {
+    Stage next, previous;
+
+    abstract void pass(Qry q);
+
+    void back(Qry q, Exec e, Outcome outcome, CacheNote note) {
+        previous.back(q, e, outcome, note);
+    }
+}
--- a/src/main/java/spurroad/model/Deployment.java
+++ b/src/main/java/spurroad/model/Deployment.java
@@ -9,10 +9,9 @@
  * @param allowancePerS queries a second over all proxies within each customer's share
  * @param originKind    the kind of the origin's list entry, or null where nodes fetch for themselves
  * @param mustAsk       whether the list is heard only by a proxy that asks for it
- * @param weighted      whether a list entry's weight is a steady size
  */
 public record Deployment(List<Track> tracks, List<Double> allowancePerS, int proxies, ZoneId zone,
-                         KindId originKind, boolean mustAsk, boolean weighted, boolean probes,
+                         KindId originKind, boolean mustAsk, boolean probes,
                          boolean cancels, boolean secondCopies, boolean comeBack, long maxComeBackNs,
                          int mostExecutions, double startCapacity, long coldNs, long fallNs,
                          long tickNs) { }
--- a/src/main/java/spurroad/model/NodeEntry.java
+++ b/src/main/java/spurroad/model/NodeEntry.java
@@ -1,5 +1,10 @@
 package spurroad.model;
 
-/** One line of the list; a start time of zero means long ago. */
+/** One line of the list; a start time of zero means long ago, the weight is a steady size above zero. */
 public record NodeEntry(NodeId id, KindId kind, ZoneId zone, CellId cell, long startedNs, double weight,
-                        Phase phase) { }
+                        Phase phase) {
+    /** The same node once the list no longer names it. */
+    public NodeEntry gone() {
+        return new NodeEntry(id, kind, zone, cell, startedNs, weight, Phase.GONE);
+    }
+}
--- a/src/main/java/spurroad/wirehost/StartLines.java
+++ b/src/main/java/spurroad/wirehost/StartLines.java
@@ -16,6 +16,8 @@
     private static final long NS_PER_US = 1_000L;
     private final Map<String, String> values = new HashMap<>();
     final List<String> reportColumns;
+    /** Whether list entries carry a steady size. */
+    final boolean weighted;
 
     StartLines(String text) {
         for (String line : text.split("\n")) {
@@ -24,6 +26,8 @@
                 values.put(line.substring(0, cut).strip(), line.substring(cut + 1).strip());
             }
         }
+        String weights = values.getOrDefault("weights", "off");
+        weighted = weights.equals("nominal") || weights.equals("rough");
         String columns = values.getOrDefault("report.columns", "");
         reportColumns = columns.isEmpty() ? List.of() : List.of(columns.split(","));
     }
@@ -39,12 +43,10 @@
         }
         boolean aside = values.getOrDefault("familyInfo.mode", "through").equals("aside");
         int originKind = (int) number("familyInfo.originKind", -1);
-        String weights = values.getOrDefault("weights", "off");
         return new Deployment(List.copyOf(tracks), List.copyOf(allowances),
             Math.max(1, (int) number("balancers", 1)), new ZoneId((int) number("myZone", 0)),
             aside && originKind >= 0 ? new KindId(originKind) : null,
             values.getOrDefault("discovery", "pushed").equals("on_request"),
-            weights.equals("nominal") || weights.equals("rough"),
             flag("allowed.probes"), flag("allowed.cancel"), flag("allowed.secondCopies"),
             flag("allowed.retryAfter"), time("allowed.maxRetryAfterUs", 0),
             Math.max(1, (int) number("allowed.mostExecutions", 1)),
--- a/src/main/java/spurroad/wirehost/WireHost.java
+++ b/src/main/java/spurroad/wirehost/WireHost.java
@@ -51,11 +51,13 @@
     private static final class Hosted {
         private final Balance balance;
         private final List<String> columns;
+        private final boolean weighted;
         private long armedNs = Long.MAX_VALUE;
 
-        private Hosted(Balance balance, List<String> columns) {
+        private Hosted(Balance balance, StartLines lines) {
             this.balance = balance;
-            this.columns = columns;
+            columns = lines.reportColumns;
+            weighted = lines.weighted;
         }
     }
 
@@ -137,7 +139,7 @@
         if (code == LAUNCH) {
             long seed = f.getLong();
             StartLines lines = new StartLines(text(f));
-            hosted.put(instance, new Hosted(new Balance(lines.deployment(), seed), lines.reportColumns));
+            hosted.put(instance, new Hosted(new Balance(lines.deployment(), seed), lines));
             return;
         }
         Hosted host = hosted.get(instance);
@@ -166,7 +168,7 @@
             case ENDPOINTS: {
                 int scope = f.get();
                 f.getLong();
-                List<NodeEntry> entries = entries(f);
+                List<NodeEntry> entries = entries(f, host.weighted);
                 return scope == SCOPE_FAILED ? () -> to.listFailed(now, decisions)
                     : () -> to.listed(now, entries, scope != SCOPE_DELTA, decisions);
             }
@@ -212,7 +214,7 @@
         }
     }
 
-    private static List<NodeEntry> entries(ByteBuffer f) {
+    private static List<NodeEntry> entries(ByteBuffer f, boolean weighted) {
         int count = f.getInt();
         if (count < 0 || (long) count * ENTRY_BYTES > f.remaining()) {
             throw new IllegalArgumentException("count");
@@ -222,7 +224,8 @@
             KindId kind = new KindId(f.get() & 0xff);
             ZoneId zone = new ZoneId(f.get() & 0xff);
             long started = Math.max(0, Math.min(f.getLong(), Long.MAX_VALUE / NS_PER_US)) * NS_PER_US;
-            double weight = f.getFloat();
+            float size = f.getFloat();
+            double weight = weighted && size > 0 && size < Float.MAX_VALUE ? size : 1;
             NodeId node = node(f);
             Phase phase = switch (f.get()) {
                 case 1 -> Phase.GONE;
