--- /dev/null
+++ b/src/main/java/spurroad/Agenda.java
@@ -0,0 +1,32 @@
+package spurroad;
+
+import java.util.Comparator;
+import java.util.PriorityQueue;
+
+/** When held queries are due, in order; one held anew, or released, is no more due for its earlier hold. */
+final class Agenda {
+    private record Due(long at, long order, Qry qry, int hold) { }
+
+    private final PriorityQueue<Due> dues =
+        new PriorityQueue<>(Comparator.comparingLong(Due::at).thenComparingLong(Due::order));
+    private long order;
+
+    void add(Qry q, long at) {
+        dues.add(new Due(at, order++, q, ++q.holds));
+    }
+
+    /** A query that is due now, or null. */
+    Qry due(long now) {
+        while (next() <= now) {
+            Due due = dues.poll();
+            if (due.qry.hold != Hold.NONE && due.qry.holds == due.hold) {
+                return due.qry;
+            }
+        }
+        return null;
+    }
+
+    long next() {
+        return dues.isEmpty() ? Long.MAX_VALUE : dues.peek().at;
+    }
+}
--- a/src/main/java/spurroad/Balance.java
+++ b/src/main/java/spurroad/Balance.java
@@ -5,9 +5,9 @@
 
 /**
  * All decisions of one proxy. Its host makes one instance per proxy from the start figures and a seed, calls
- * it from one thread, once for each thing that happens, with the time of that thing, carries out what the call
- * put into {@link Decisions} and calls {@link #reached} at {@code wakeNs}. The interface is the public methods
- * below with the types of {@code spurroad.model}; docs/design.md tells the mechanism.
+ * it from one thread with each thing that happens and its time, carries out what the call put into
+ * {@link Decisions} and calls {@link #reached} at {@code wakeNs}. The interface is the public methods below
+ * with the types of {@code spurroad.model}; docs/design.md tells the mechanism.
  */
 public final class Balance {
     static final int CANDIDATES = 3; // nodes; the design's figure
@@ -37,17 +37,10 @@
     static final long FOLLOW_NS = 500_000_000L; // ns; first pause before following the list again
     static final long LONGEST_FOLLOW_NS = 8_000_000_000L; // ns; the list is one service for all proxies
 
-    private record Due(long at, long order, Qry qry, int hold) { }
-
+    private final Deployment given;
     private final Random random;
-    private final TrackFigures[] tracks;
-    private final double[] customerPace;
+    private final long shortestSloNs;
     private final Fading[] customerSent;
-    private final KindId originKind;
-    private final boolean mustAsk, probes, cancels, secondCopies;
-    private final long maxComeBackNs, coldNs, fallNs, tickNs, shortestSloNs;
-    private final int mostExecutions;
-    private final double startCapacity;
     private final Stage first = new Entry();
     private final Fetch fetch = new Fetch();
     private final Choice choice = new Choice();
@@ -56,8 +49,7 @@
     private Ring ring = new Ring();
     private Node origin;
     private final Map<QueryId, Qry> queries = new HashMap<>();
-    private final PriorityQueue<Due> agenda =
-        new PriorityQueue<>(Comparator.comparingLong(Due::at).thenComparingLong(Due::order));
+    private final Agenda agenda = new Agenda();
     private final TreeSet<Qry> waiting = new TreeSet<>(Comparator.comparing((Qry q) -> q.beyondShare)
         .thenComparing(q -> -q.track.importance()).thenComparing(q -> !q.write).thenComparing(q -> q.order));
     private final Fading[] allPace = {new Fading(MEMORY_NS), new Fading(MEMORY_NS)};
@@ -71,25 +63,10 @@
     private Decisions decisions;
 
     public Balance(Deployment start, long seed) {
+        given = start;
         random = new Random(seed);
-        tracks = start.tracks().stream().map(t -> new TrackFigures(t.effect(), t.dedupScope(),
-            t.dedupWindowNs(), t.sloNs(), t.sloStretch(), t.importance(), t.lateShare() > 0,
-            WAIT_SHARE * t.sloNs())).toArray(TrackFigures[]::new);
         shortestSloNs = start.tracks().stream().mapToLong(Track::sloNs).min().orElse(FRESH_NS);
-        customerPace = start.allowancePerS().stream().mapToDouble(a -> a / start.proxies()).toArray();
-        customerSent = new Fading[customerPace.length];
-        Arrays.setAll(customerSent, i -> new Fading(RATE_NS));
-        originKind = start.originKind();
-        mustAsk = start.mustAsk();
-        probes = start.probes();
-        cancels = start.cancels();
-        secondCopies = start.secondCopies();
-        maxComeBackNs = start.comeBack() ? start.maxComeBackNs() : 0;
-        mostExecutions = start.mostExecutions();
-        startCapacity = start.startCapacity();
-        coldNs = start.coldNs();
-        fallNs = Math.max(start.fallNs(), SWEEP_NS);
-        tickNs = start.tickNs();
+        customerSent = start.customerPace().stream().map(p -> new Fading(RATE_NS)).toArray(Fading[]::new);
         Stage[] chain = {first, fetch, choice, sending};
         for (int i = 0; i + 1 < chain.length; i++) {
             chain[i].next = chain[i + 1];
@@ -107,20 +84,17 @@
             named.add(e.id());
             Node n = nodes.get(e.id());
             if (n == null || n.entry.startedNs() != e.startedNs()) {
-                nodes.put(e.id(), new Node(e, MEMORY_NS, fallNs, PAUSE_NS));
+                nodes.put(e.id(), new Node(e, MEMORY_NS, Math.max(given.fallNs(), SWEEP_NS), PAUSE_NS));
             } else {
                 n.entry = e;
             }
         }
-        for (Node n : nodes.values()) {
-            NodeEntry e = n.entry;
-            if (complete && !named.contains(e.id())) {
-                n.entry = e.gone();
-            }
+        for (Node n : complete ? nodes.values() : List.<Node>of()) {
+            n.entry = named.contains(n.entry.id()) ? n.entry : n.entry.gone();
         }
         buildRing();
         followPause = following ? FOLLOW_NS : followPause;
-        into.follow = mustAsk && !following;
+        into.follow = given.mustAsk() && !following;
         following = true;
         finish();
     }
@@ -128,7 +102,7 @@
     /** A call to the list failed or its subscription ended: ask again after a growing pause. */
     public void listFailed(long at, Decisions into) {
         begin(at, into);
-        if (mustAsk) {
+        if (given.mustAsk()) {
             followAt = now + followPause / 2 + (long) (random.nextDouble() * followPause);
             followPause = Math.min(LONGEST_FOLLOW_NS, 2 * followPause);
         }
@@ -141,7 +115,7 @@
         begin(at, into);
         Qry q = new Qry();
         q.id = id;
-        q.track = tracks[Math.min(track.value(), tracks.length - 1)];
+        q.track = given.tracks().get(Math.min(track.value(), given.tracks().size() - 1));
         q.key = key;
         q.order = order++;
         q.point = key.value() == 0 ? random.nextLong() : Ring.mix(key.value());
@@ -149,10 +123,10 @@
         q.endAt = now + budgetNs;
         q.sloAt = Math.min(q.endAt, now + q.track.sloNs() + (long) (q.track.sloStretch() * workNs));
         int c = customer.value();
-        if (c >= 0 && c < customerPace.length) {
+        if (c >= 0 && c < customerSent.length) {
             customerSent[c].add(now, 1, 0);
-            double pace = customerSent[c].top * 1e9 / RATE_NS;
-            q.beyondShare = pace > customerPace[c] && random.nextDouble() > customerPace[c] / pace;
+            double part = given.customerPace().get(c) * RATE_NS / (customerSent[c].top * 1e9);
+            q.beyondShare = part < 1 && random.nextDouble() > part;
         }
         queries.put(id, q);
         further = Math.min(FURTHER_MOST, further + FURTHER);
@@ -221,11 +195,8 @@
     }
 
     private void finish() {
-        while (!agenda.isEmpty() && agenda.peek().at <= now) {
-            Due due = agenda.poll();
-            if (due.qry.hold != Hold.NONE && due.qry.holds == due.hold) {
-                heldLongEnough(due.qry);
-            }
+        for (Qry q = agenda.due(now); q != null; q = agenda.due(now)) {
+            heldLongEnough(q);
         }
         if (followAt <= now) {
             followAt = Long.MAX_VALUE;
@@ -237,8 +208,7 @@
         }
         fetch.pump();
         sweepAt = sweepAt == Long.MAX_VALUE && out > 0 ? now + SWEEP_NS : sweepAt;
-        long wake = Math.min(followAt, sweepAt);
-        decisions.wakeNs = agenda.isEmpty() ? wake : Math.min(wake, agenda.peek().at);
+        decisions.wakeNs = Math.min(agenda.next(), Math.min(followAt, sweepAt));
     }
 
     // ---- stages
@@ -246,28 +216,28 @@
     /** Takes a query in and owes its final answer. */
     private final class Entry extends Stage {
         void pass(Qry q) {
-            if (q.endAt <= now + tickNs) {
-                giveUp(q);
-            } else {
+            if (q.endAt > now + given.tickNs()) {
                 next.pass(q);
+            } else {
+                giveUp(q);
             }
         }
 
         @Override
         void back(Qry q, Exec e, Outcome outcome, CacheNote note) {
-            if (q.out > 0) {
-                return;
-            }
             boolean unseen = outcome.provesNotRun();
-            boolean inTime = now + tickNs < (q.track.lateCounts() ? q.endAt : q.sloAt);
+            boolean inTime = now + given.tickNs() < (q.track.lateShare() > 0 ? q.endAt : q.sloAt);
             // storms: queries turned away everywhere went on to every node (first incidents)
             boolean allFull = outcome == Outcome.TURNED_AWAY && q.avoid.size() >= CANDIDATES;
+            if (q.out > 0) {
+                return;
+            }
             if (allFull || outcome == Outcome.NEVER_SENT || !inTime || !unseen && further < 1) {
                 giveUp(q);
-                return;
+            } else {
+                further -= unseen ? 0 : 1;
+                pass(q);
             }
-            further -= unseen ? 0 : 1;
-            pass(q);
         }
     }
 
@@ -277,7 +247,7 @@
         private final Map<Qry, List<Qry>> followers = new HashMap<>();
 
         void pass(Qry q) {
-            if (originKind == null || !q.write && !q.missed) {
+            if (given.originKind() == null || !q.write && !q.missed) {
                 next.pass(q);
                 return;
             }
@@ -349,7 +319,7 @@
                 return;
             }
             Node local = c.get(0);
-            if (underLimit(local, q) || c.size() == 1 || !probes) {
+            if (underLimit(local, q) || c.size() == 1 || !given.probes()) {
                 if (!fresh(local) && !Double.isNaN(local.reported)) {
                     probe(local);
                 }
@@ -366,7 +336,7 @@
         }
 
         private boolean underLimit(Node n, Qry q) {
-            return figure(n) < limit(n, q.track.waitNs());
+            return figure(n) < limit(n, WAIT_SHARE * q.track.sloNs());
         }
 
         private void heard(Qry q, Node n, boolean answered) {
@@ -386,7 +356,7 @@
         private void waited(Qry q) {
             List<Node> c = q.candidates.stream().filter(n -> ready(n, q)).toList();
             release(q);
-            if (c.isEmpty() || now + tickNs >= q.endAt) {
+            if (c.isEmpty() || now + given.tickNs() >= q.endAt) {
                 giveUp(q);
             } else {
                 to(q, q.answered ? lowest(c) : c.get(random.nextInt(c.size())));
@@ -398,14 +368,14 @@
         }
 
         private void to(Qry q, Node n) {
-            boolean crowded = figure(n) >= BEYOND_SHARE * limit(n, q.track.waitNs());
+            boolean crowded = figure(n) >= BEYOND_SHARE * limit(n, WAIT_SHARE * q.track.sloNs());
             boolean late = expected(n, 0) > q.sloAt - now;
-            if (q.beyondShare && crowded || late && !q.track.lateCounts() && q.execs.isEmpty()) {
+            if (q.beyondShare && crowded || late && q.track.lateShare() == 0 && q.execs.isEmpty()) {
                 giveUp(q);
-                return;
+            } else {
+                q.target = n;
+                next.pass(q);
             }
-            q.target = n;
-            next.pass(q);
         }
     }
 
@@ -425,7 +395,7 @@
             n.sentSince++;
             n.load.add(now, 1, 0);
             n.trickleLeft -= n.trickle > 0 ? 1 : 0;
-            long until = q.track.lateCounts() || q.write ? q.endAt : q.sloAt;
+            long until = q.track.lateShare() > 0 || q.write ? q.endAt : q.sloAt;
             decisions.starts.add(new Decisions.Start(q.id, n.entry.id(), until - now));
         }
 
@@ -454,7 +424,7 @@
     // ---- rules by the kind of track: the only place that says what may be sent or answered
 
     private boolean maySend(Qry q, Node n) {
-        if (q.execs.size() >= mostExecutions || q.out > 0 && !secondCopies
+        if (q.execs.size() >= given.mostExecutions() || q.out > 0 && !given.secondCopies()
             || n.entry.phase() != Phase.READY) {
             return false;
         }
@@ -463,7 +433,8 @@
         return ran == null || switch (q.track.effect()) {
             case IDEMPOTENT -> true;
             case NON_IDEMPOTENT -> false;
-            case DEDUPLICATED -> remembered(q, ran) && switch (q.track.scope()) {
+            case DEDUPLICATED -> now + given.tickNs() < ran.sentAt + q.track.dedupWindowNs()
+                && switch (q.track.dedupScope()) {
                 case ALL -> true;
                 case ZONE -> ran.node.entry.zone().equals(n.entry.zone());
                 case CELL -> ran.node.entry.cell().equals(n.entry.cell());
@@ -471,14 +442,10 @@
         };
     }
 
-    private boolean remembered(Qry q, Exec ran) {
-        return now + tickNs < ran.sentAt + q.track.windowNs();
-    }
-
     private boolean mayReject(Qry q) {
         return q.track.effect() == Effect.IDEMPOTENT || q.out == 0 && (q.mayHaveRun == null
-            || q.track.effect() == Effect.DEDUPLICATED && q.track.scope() == DedupScope.ALL
-            && remembered(q, q.mayHaveRun));
+            || q.track.effect() == Effect.DEDUPLICATED && q.track.dedupScope() == DedupScope.ALL
+            && now + given.tickNs() < q.mayHaveRun.sentAt + q.track.dedupWindowNs());
     }
 
     private void giveUp(Qry q) {
@@ -486,7 +453,7 @@
         close(q);
         long back = (long) (q.track.sloNs() * COME_BACK * (0.5 + random.nextDouble()));
         decisions.answers.add(new Decisions.Answer(q.id, reject,
-            !reject ? 0 : q.beyondShare ? maxComeBackNs : Math.min(maxComeBackNs, back)));
+            !reject ? 0 : q.beyondShare ? given.maxComeBackNs() : Math.min(given.maxComeBackNs(), back)));
     }
 
     private void close(Qry q) {
@@ -506,7 +473,7 @@
     }
 
     private void stop(Exec e) {
-        if (e.out && cancels && !e.stopped) {
+        if (e.out && given.cancels() && !e.stopped) {
             e.stopped = true;
             decisions.stops.add(new Decisions.Stop(e.qry.id, e.number));
         }
@@ -516,9 +483,8 @@
 
     private void hold(Qry q, Hold why, long until) {
         q.hold = why;
-        q.holds++;
         // never due at once: a query out of time was held and released in turn for ever (overloaded days)
-        agenda.add(new Due(Math.max(now + tickNs, Math.min(until, q.endAt - tickNs)), order++, q, q.holds));
+        agenda.add(q, Math.max(now + given.tickNs(), Math.min(until, q.endAt - given.tickNs())));
     }
 
     private void release(Qry q) {
@@ -573,7 +539,7 @@
     }
 
     private void probe(Node n) {
-        if (probes && !n.probing) {
+        if (given.probes() && !n.probing) {
             n.probing = true;
             decisions.probes.add(n.entry.id());
         }
@@ -593,14 +559,13 @@
     private void judge(Exec e, Outcome outcome, CacheNote note) {
         Node n = e.node;
         long took = now - e.sentAt;
-        boolean answered = outcome == Outcome.COMPLETED || outcome == Outcome.ERROR
-            || outcome == Outcome.TURNED_AWAY || outcome == Outcome.MISS;
+        boolean answered = outcome.answered();
         if (answered) {
             n.lastAnswerAt = now;
             // work turned away is not carried: counted, it made cold nodes of a lost data centre fall over
             n.load.add(now, 0, outcome == Outcome.TURNED_AWAY ? 0 : 1);
         }
-        boolean fetched = originKind == null && (note == CacheNote.MISS || e.qry.write);
+        boolean fetched = given.originKind() == null && (note == CacheNote.MISS || e.qry.write);
         boolean paced = outcome == Outcome.COMPLETED && !fetched;
         if (n == origin && (outcome == Outcome.TIMED_OUT || outcome == Outcome.TURNED_AWAY)) {
             took = Math.max(took, e.qry.track.sloNs());
@@ -612,18 +577,15 @@
         if (n == origin || outcome == Outcome.NEVER_SENT || e.stopped && outcome == Outcome.CANCELLED) {
             return;
         }
-        if (paced) {
-            allPace[e.scope].add(now, took, e.depth + 1);
-        }
-        if (outcome == Outcome.COMPLETED) {
-            allTimes.add(now, took, 1);
-        }
+        allPace[e.scope].add(now, paced ? took : 0, paced ? e.depth + 1 : 0);
+        allTimes.add(now, outcome == Outcome.COMPLETED ? took : 0, outcome == Outcome.COMPLETED ? 1 : 0);
         boolean late = paced && took > e.qry.track.sloNs();
         boolean failed = late || outcome == Outcome.ERROR && !fetched || outcome == Outcome.DROPPED
             || outcome == Outcome.NO_CONNECTION || outcome == Outcome.TIMED_OUT && n.lastAnswerAt < e.sentAt;
         if (failed) {
             n.bad.add(now, 1, 1);
-            if (n.trickle > 0 || n.bad.top >= BAD_ENDS && n.bad.ratio(now, 0, 0) > BAD_SHARE + 2 * usualBadShare()) {
+            double most = BAD_SHARE + 2 * usualBadShare();
+            if (n.trickle > 0 || n.bad.top >= BAD_ENDS && n.bad.ratio(now, 0, 0) > most) {
                 setAside(n);
             }
         } else if (answered && outcome != Outcome.TURNED_AWAY) {
@@ -649,7 +611,7 @@
     private void setAside(Node n) {
         n.asideUntil = now + n.pause;
         n.pause = Math.min(LONGEST_PAUSE_NS, 2 * n.pause);
-        n.proven = !probes;
+        n.proven = !given.probes();
         n.trickle = 1;
         n.trickleLeft = 1;
         n.trickleGood = 0;
@@ -658,11 +620,7 @@
 
     /** Time that the executions out at a node have spent since it last answered, all together. */
     private double unanswered(Node n) {
-        double sum = 0;
-        for (Exec e : n.out) {
-            sum += now - Math.max(n.lastAnswerAt, e.sentAt);
-        }
-        return sum;
+        return n.out.stream().mapToDouble(e -> now - Math.max(n.lastAnswerAt, e.sentAt)).sum();
     }
 
     private boolean silent(Node n, double times) {
@@ -690,12 +648,8 @@
             if (n.asideUntil <= now) {
                 setAside(n);
             }
-            for (Exec e : n.out) {
-                Qry q = e.qry;
-                if (!q.done && q.track.effect() != Effect.NON_IDEMPOTENT && q.execs.size() < mostExecutions) {
-                    stop(e);
-                }
-            }
+            n.out.stream().filter(e -> !e.qry.done && e.qry.track.effect() != Effect.NON_IDEMPOTENT
+                && e.qry.execs.size() < given.mostExecutions()).forEach(this::stop);
         }
     }
 
@@ -711,18 +665,15 @@
     /** A cold node takes its part of what warm ones carry from here, growing with its stated warm-up. */
     private boolean hasRoomWhileCold(Node n) {
         long age = now - n.entry.startedNs();
-        if (n.entry.startedNs() == 0 || age >= coldNs) {
+        if (n.entry.startedNs() == 0 || age >= given.coldNs()) {
             return true;
         }
-        double warm = 0, weight = 0;
-        for (Node o : nodes.values()) {
-            if (o != origin && o.entry.phase() == Phase.READY && now - o.entry.startedNs() >= coldNs) {
-                warm += o.load.at(now).bottom;
-                weight += o.entry.weight();
-            }
-        }
-        double share = startCapacity + (1 - startCapacity) * Math.max(0, age) / coldNs;
-        double room = weight == 0 ? 1 : share * warm / weight * n.entry.weight();
+        List<Node> warm = nodes.values().stream().filter(o -> o != origin && o.entry.phase() == Phase.READY
+            && now - o.entry.startedNs() >= given.coldNs()).toList();
+        double carried = warm.stream().mapToDouble(o -> o.load.at(now).bottom).sum();
+        double weight = warm.stream().mapToDouble(o -> o.entry.weight()).sum();
+        double cold = (1 - given.startCapacity()) * (1 - (double) Math.max(0, age) / given.coldNs());
+        double room = (1 - cold) * carried / Math.max(1e-9, weight) * n.entry.weight();
         return n.load.at(now).top < Math.max(1, room);
     }
 
@@ -740,19 +691,14 @@
     }
 
     private void buildRing() {
-        origin = null;
-        List<Node> caches = new ArrayList<>();
-        for (Node n : nodes.values()) {
-            if (n.entry.kind().equals(originKind)) {
-                origin = origin == null || n.entry.phase() == Phase.READY ? n : origin;
-            } else if (n.entry.phase() == Phase.READY) {
-                caches.add(n);
-            }
-        }
+        List<Node> ready = nodes.values().stream().filter(n -> n.entry.phase() == Phase.READY).toList();
+        origin = ready.stream().filter(n -> n.entry.kind().equals(given.originKind()))
+            .findFirst().orElse(null);
+        List<Node> caches = ready.stream().filter(n -> n != origin).toList();
         double mean = caches.stream().mapToDouble(n -> n.entry.weight()).average().orElse(1);
         ring = new Ring();
         for (Node n : caches) {
-            ring.add(n, (int) Math.max(1, Math.round(POINTS * Math.min(CANDIDATES, n.entry.weight() / mean))));
+            ring.add(n, (int) Math.max(1, POINTS * Math.min(CANDIDATES, n.entry.weight() / mean)));
         }
         ring.close();
     }
--- a/src/main/java/spurroad/Qry.java
+++ b/src/main/java/spurroad/Qry.java
@@ -6,11 +6,12 @@
 import java.util.Set;
 import spurroad.model.CacheKey;
 import spurroad.model.QueryId;
+import spurroad.model.Track;
 
 /** One query that a proxy has taken on. */
 final class Qry {
     QueryId id;
-    TrackFigures track;
+    Track track;
     CacheKey key;
     long order, point, sloAt, endAt;
     boolean beyondShare, write, missed, pausedForFetch, served, done;
--- a/src/main/java/spurroad/model/Deployment.java
+++ b/src/main/java/spurroad/model/Deployment.java
@@ -3,15 +3,14 @@
 import java.util.List;
 
 /**
- * What a proxy is told at its start, in the project's words. The module turns it into the few figures it
- * decides by and keeps none of it.
+ * The figures by which a proxy decides, derived from its start settings.
  *
- * @param allowancePerS queries a second over all proxies within each customer's share
- * @param originKind    the kind of the origin's list entry, or null where nodes fetch for themselves
- * @param mustAsk       whether the list is heard only by a proxy that asks for it
+ * @param customerPace queries a second within each customer's share, this proxy's part of them
+ * @param originKind   the kind of the origin's list entry, or null where nodes fetch for themselves
+ * @param mustAsk      whether the list is heard only by a proxy that asks for it
+ * @param maxComeBackNs how long a rejected client may be asked to stay away; zero where it is not told
+ * @param fallNs       how long a cold node bears too much before it falls over
  */
-public record Deployment(List<Track> tracks, List<Double> allowancePerS, int proxies, ZoneId zone,
-                         KindId originKind, boolean mustAsk, boolean probes,
-                         boolean cancels, boolean secondCopies, boolean comeBack, long maxComeBackNs,
-                         int mostExecutions, double startCapacity, long coldNs, long fallNs,
-                         long tickNs) { }
+public record Deployment(List<Track> tracks, List<Double> customerPace, KindId originKind, boolean mustAsk,
+                         boolean probes, boolean cancels, boolean secondCopies, long maxComeBackNs,
+                         int mostExecutions, double startCapacity, long coldNs, long fallNs, long tickNs) { }
--- a/src/main/java/spurroad/model/Outcome.java
+++ b/src/main/java/spurroad/model/Outcome.java
@@ -8,4 +8,9 @@
     public boolean provesNotRun() {
         return this == TURNED_AWAY || this == NO_CONNECTION || this == NEVER_SENT || this == MISS;
     }
+
+    /** True where the node itself replied. */
+    public boolean answered() {
+        return this == COMPLETED || this == ERROR || this == TURNED_AWAY || this == MISS;
+    }
 }
--- a/src/main/java/spurroad/model/Track.java
+++ b/src/main/java/spurroad/model/Track.java
@@ -1,5 +1,5 @@
 package spurroad.model;
 
-/** What the start settings say of one track; times in nanoseconds. */
-public record Track(Effect effect, DedupScope dedupScope, long dedupWindowNs, long sloNs, long timeoutNs,
+/** What a proxy decides by for one track; times in nanoseconds. */
+public record Track(Effect effect, DedupScope dedupScope, long dedupWindowNs, long sloNs,
                     double sloStretch, double importance, double lateShare) { }
--- a/src/main/java/spurroad/wirehost/StartLines.java
+++ b/src/main/java/spurroad/wirehost/StartLines.java
@@ -4,12 +4,11 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import spurroad.model.Deployment;
 import spurroad.model.DedupScope;
+import spurroad.model.Deployment;
 import spurroad.model.Effect;
 import spurroad.model.KindId;
 import spurroad.model.Track;
-import spurroad.model.ZoneId;
 
 /** The settings lines that an instance is launched with, read into the project's words. */
 final class StartLines {
@@ -37,18 +36,18 @@
         for (int i = 0, n = (int) need("tracks.count"); i < n; i++) {
             tracks.add(track("tracks." + i + "."));
         }
-        List<Double> allowances = new ArrayList<>();
+        double proxies = Math.max(1, number("balancers", 1));
+        List<Double> paces = new ArrayList<>();
         for (int i = 0, n = (int) number("projects.count", 0); i < n; i++) {
-            allowances.add(need("projects." + i + ".allowancePerS"));
+            paces.add(need("projects." + i + ".allowancePerS") / proxies);
         }
         boolean aside = values.getOrDefault("familyInfo.mode", "through").equals("aside");
         int originKind = (int) number("familyInfo.originKind", -1);
-        return new Deployment(List.copyOf(tracks), List.copyOf(allowances),
-            Math.max(1, (int) number("balancers", 1)), new ZoneId((int) number("myZone", 0)),
+        return new Deployment(List.copyOf(tracks), List.copyOf(paces),
             aside && originKind >= 0 ? new KindId(originKind) : null,
             values.getOrDefault("discovery", "pushed").equals("on_request"),
             flag("allowed.probes"), flag("allowed.cancel"), flag("allowed.secondCopies"),
-            flag("allowed.retryAfter"), time("allowed.maxRetryAfterUs", 0),
+            flag("allowed.retryAfter") ? time("allowed.maxRetryAfterUs", 0) : 0,
             Math.max(1, (int) number("allowed.mostExecutions", 1)),
             number("obligations.startCapacity", 1), time("obligations.coldUs", 0),
             time("obligations.fallUs", 0), time("tickUs", 0));
@@ -67,7 +66,7 @@
             default -> DedupScope.CELL;
         };
         return new Track(effect, scope, time(at + "dedupWindowUs", 0),
-            (long) need(at + "sloTimeUs") * NS_PER_US, (long) need(at + "statementTimeoutUs") * NS_PER_US,
+            (long) need(at + "sloTimeUs") * NS_PER_US,
             number(at + "aimStretch", 0), number(at + "importance", 1), number(at + "tardyImportance", 0));
     }
 
--- a/src/main/java/spurroad/wirehost/WireHost.java
+++ b/src/main/java/spurroad/wirehost/WireHost.java
@@ -82,7 +82,8 @@
             long records = head.getInt() & MAX_U32;
             int number = head.getInt();
             long most = Math.min(length, MAX_FRAME_BYTES) / RECORD_BYTES;
-            if (length > MAX_FRAME_BYTES || records > most || nowUs < 0 || nowUs > Long.MAX_VALUE / NS_PER_US) {
+            if (length > MAX_FRAME_BYTES || records > most || nowUs < 0
+                || nowUs > Long.MAX_VALUE / NS_PER_US) {
                 throw new WireException("batch " + (number & MAX_U32) + " has an impossible header");
             }
             byte[] body = new byte[(int) length];
