--- a/src/main/java/spurroad/Balance.java
+++ b/src/main/java/spurroad/Balance.java
@@ -227,12 +227,10 @@
         void back(Qry q, Exec e, Outcome outcome, CacheNote note) {
             boolean unseen = outcome.provesNotRun();
             boolean inTime = now + given.tickNs() < (q.track.lateShare() > 0 ? q.endAt : q.sloAt);
-            // storms: queries turned away everywhere went on to every node (first incidents)
-            boolean allFull = outcome == Outcome.TURNED_AWAY && q.avoid.size() >= CANDIDATES;
             if (q.out > 0) {
                 return;
             }
-            if (allFull || outcome == Outcome.NEVER_SENT || !inTime || !unseen && further < 1) {
+            if (outcome == Outcome.NEVER_SENT || !inTime || !unseen && further < 1) {
                 giveUp(q);
             } else {
                 further -= unseen ? 0 : 1;
@@ -560,6 +558,9 @@
         Node n = e.node;
         long took = now - e.sentAt;
         boolean answered = outcome.answered();
+        if (outcome == Outcome.TURNED_AWAY) {
+            n.fullUntil = now + (long) pace(n);
+        }
         if (answered) {
             n.lastAnswerAt = now;
             // work turned away is not carried: counted, it made cold nodes of a lost data centre fall over
@@ -659,12 +660,16 @@
         boolean idempotent = q.track.effect() == Effect.IDEMPOTENT;
         boolean trickling = n.trickle > 0 && (!idempotent || n.trickleLeft <= 0 || !n.proven);
         return n.entry.phase() == Phase.READY && now >= n.asideUntil && !trickling && !q.avoid.contains(n)
-            && (idempotent || !silent(n, SILENCE / 2)) && hasRoomWhileCold(n);
+            && (idempotent || !silent(n, SILENCE / 2)) && hasRoom(n);
     }
 
     /** A cold node takes its part of what warm ones carry from here, growing with its stated warm-up. */
-    private boolean hasRoomWhileCold(Node n) {
+    private boolean hasRoom(Node n) {
         long age = now - n.entry.startedNs();
+        // storms: nodes that had just turned queries away were asked again at once (first incidents)
+        if (now < n.fullUntil) {
+            return false;
+        }
         if (n.entry.startedNs() == 0 || age >= given.coldNs()) {
             return true;
         }
@@ -683,7 +688,7 @@
         int from = ring.from(q.point);
         for (int i = 0; i < ring.size() && found.size() < CANDIDATES; i++) {
             Node n = ring.at(from + i);
-            if (!found.contains(n) && (onlyReady ? ready(n, q) : hasRoomWhileCold(n) && maySend(q, n))) {
+            if (!found.contains(n) && (onlyReady ? ready(n, q) : hasRoom(n) && maySend(q, n))) {
                 found.add(n);
             }
         }
