--- a/src/main/java/spurroad/Balance.java
+++ b/src/main/java/spurroad/Balance.java
@@ -334,7 +334,7 @@
         }
 
         private boolean underLimit(Node n, Qry q) {
-            return figure(n) < limit(n, WAIT_SHARE * q.track.sloNs());
+            return now >= n.fullUntil && figure(n) < limit(n, WAIT_SHARE * q.track.sloNs());
         }
 
         private void heard(Qry q, Node n, boolean answered) {
@@ -362,13 +362,17 @@
         }
 
         private Node lowest(List<Node> c) {
-            return c.stream().min(Comparator.comparingDouble(n -> figure(n) * pace(n))).orElseThrow();
+            return c.stream().min(Comparator.comparing((Node n) -> now < n.fullUntil)
+                .thenComparing(n -> figure(n) * pace(n))).orElseThrow();
         }
 
         private void to(Qry q, Node n) {
             boolean crowded = figure(n) >= BEYOND_SHARE * limit(n, WAIT_SHARE * q.track.sloNs());
             boolean late = expected(n, 0) > q.sloAt - now;
-            if (q.beyondShare && crowded || late && q.track.lateShare() == 0 && q.execs.isEmpty()) {
+            if (now < n.fullUntil && !q.beyondShare) {
+                // storms: nodes that had just turned queries away were asked again at once (first incidents)
+                hold(q, Hold.PAUSE, n.fullUntil);
+            } else if (q.beyondShare && crowded || late && q.track.lateShare() == 0 && q.execs.isEmpty()) {
                 giveUp(q);
             } else {
                 q.target = n;
@@ -411,7 +415,7 @@
                 fetch.over(q);
             }
             if (!q.done) {
-                if (outcome != Outcome.MISS || origin == null) {
+                if (outcome != Outcome.TURNED_AWAY && (outcome != Outcome.MISS || origin == null)) {
                     q.avoid.add(e.node);
                 }
                 previous.back(q, e, outcome, note);
@@ -666,10 +670,6 @@
     /** A cold node takes its part of what warm ones carry from here, growing with its stated warm-up. */
     private boolean hasRoom(Node n) {
         long age = now - n.entry.startedNs();
-        // storms: nodes that had just turned queries away were asked again at once (first incidents)
-        if (now < n.fullUntil) {
-            return false;
-        }
         if (n.entry.startedNs() == 0 || age >= given.coldNs()) {
             return true;
         }
