--- a/src/main/java/spurroad/Balance.java
+++ b/src/main/java/spurroad/Balance.java
@@ -227,10 +227,13 @@
         void back(Qry q, Exec e, Outcome outcome, CacheNote note) {
             boolean unseen = outcome.provesNotRun();
             boolean inTime = now + given.tickNs() < (q.track.lateShare() > 0 ? q.endAt : q.sloAt);
+            // storms: queries turned away everywhere went on to every node (first incidents)
+            boolean allFull = outcome == Outcome.TURNED_AWAY && q.avoid.size() >= CANDIDATES
+                && (given.originKind() == null || !fetch.originHasRoom());
             if (q.out > 0) {
                 return;
             }
-            if (outcome == Outcome.NEVER_SENT || !inTime || !unseen && further < 1) {
+            if (allFull || outcome == Outcome.NEVER_SENT || !inTime || !unseen && further < 1) {
                 giveUp(q);
             } else {
                 further -= unseen ? 0 : 1;
@@ -334,7 +337,7 @@
         }
 
         private boolean underLimit(Node n, Qry q) {
-            return now >= n.fullUntil && figure(n) < limit(n, WAIT_SHARE * q.track.sloNs());
+            return figure(n) < limit(n, WAIT_SHARE * q.track.sloNs());
         }
 
         private void heard(Qry q, Node n, boolean answered) {
@@ -362,17 +365,13 @@
         }
 
         private Node lowest(List<Node> c) {
-            return c.stream().min(Comparator.comparing((Node n) -> now < n.fullUntil)
-                .thenComparing(n -> figure(n) * pace(n))).orElseThrow();
+            return c.stream().min(Comparator.comparingDouble(n -> figure(n) * pace(n))).orElseThrow();
         }
 
         private void to(Qry q, Node n) {
             boolean crowded = figure(n) >= BEYOND_SHARE * limit(n, WAIT_SHARE * q.track.sloNs());
             boolean late = expected(n, 0) > q.sloAt - now;
-            if (now < n.fullUntil && !q.beyondShare) {
-                // storms: nodes that had just turned queries away were asked again at once (first incidents)
-                hold(q, Hold.PAUSE, n.fullUntil);
-            } else if (q.beyondShare && crowded || late && q.track.lateShare() == 0 && q.execs.isEmpty()) {
+            if (q.beyondShare && crowded || late && q.track.lateShare() == 0 && q.execs.isEmpty()) {
                 giveUp(q);
             } else {
                 q.target = n;
@@ -415,7 +414,7 @@
                 fetch.over(q);
             }
             if (!q.done) {
-                if (outcome != Outcome.TURNED_AWAY && (outcome != Outcome.MISS || origin == null)) {
+                if (outcome != Outcome.MISS || origin == null) {
                     q.avoid.add(e.node);
                 }
                 previous.back(q, e, outcome, note);
@@ -562,9 +561,6 @@
         Node n = e.node;
         long took = now - e.sentAt;
         boolean answered = outcome.answered();
-        if (outcome == Outcome.TURNED_AWAY) {
-            n.fullUntil = now + (long) pace(n);
-        }
         if (answered) {
             n.lastAnswerAt = now;
             // work turned away is not carried: counted, it made cold nodes of a lost data centre fall over
@@ -664,11 +660,11 @@
         boolean idempotent = q.track.effect() == Effect.IDEMPOTENT;
         boolean trickling = n.trickle > 0 && (!idempotent || n.trickleLeft <= 0 || !n.proven);
         return n.entry.phase() == Phase.READY && now >= n.asideUntil && !trickling && !q.avoid.contains(n)
-            && (idempotent || !silent(n, SILENCE / 2)) && hasRoom(n);
+            && (idempotent || !silent(n, SILENCE / 2)) && hasRoomWhileCold(n);
     }
 
     /** A cold node takes its part of what warm ones carry from here, growing with its stated warm-up. */
-    private boolean hasRoom(Node n) {
+    private boolean hasRoomWhileCold(Node n) {
         long age = now - n.entry.startedNs();
         if (n.entry.startedNs() == 0 || age >= given.coldNs()) {
             return true;
@@ -688,7 +684,7 @@
         int from = ring.from(q.point);
         for (int i = 0; i < ring.size() && found.size() < CANDIDATES; i++) {
             Node n = ring.at(from + i);
-            if (!found.contains(n) && (onlyReady ? ready(n, q) : hasRoom(n) && maySend(q, n))) {
+            if (!found.contains(n) && (onlyReady ? ready(n, q) : hasRoomWhileCold(n) && maySend(q, n))) {
                 found.add(n);
             }
         }
