--- a/src/main/java/spurroad/Balance.java
+++ b/src/main/java/spurroad/Balance.java
@@ -337,7 +337,7 @@
         }
 
         private boolean underLimit(Node n, Qry q) {
-            return figure(n) < limit(n, WAIT_SHARE * q.track.sloNs());
+            return now >= n.fullUntil && figure(n) < limit(n, WAIT_SHARE * q.track.sloNs());
         }
 
         private void heard(Qry q, Node n, boolean answered) {
@@ -365,7 +365,8 @@
         }
 
         private Node lowest(List<Node> c) {
-            return c.stream().min(Comparator.comparingDouble(n -> figure(n) * pace(n))).orElseThrow();
+            return c.stream().min(Comparator.comparing((Node n) -> now < n.fullUntil)
+                .thenComparing(n -> figure(n) * pace(n))).orElseThrow();
         }
 
         private void to(Qry q, Node n) {
@@ -561,6 +562,10 @@
         Node n = e.node;
         long took = now - e.sentAt;
         boolean answered = outcome.answered();
+        if (outcome == Outcome.TURNED_AWAY) {
+            // storms: nodes that had just turned queries away were asked again at once (first incidents)
+            n.fullUntil = now + (long) pace(n);
+        }
         if (answered) {
             n.lastAnswerAt = now;
             // work turned away is not carried: counted, it made cold nodes of a lost data centre fall over
