--- a/src/main/java/spurroad/Balance.java
+++ b/src/main/java/spurroad/Balance.java
@@ -266,7 +266,7 @@
         }
 
         private boolean originHasRoom() {
-            return origin != null && origin.out.size() < limit(origin, ORIGIN_SHARE * shortestSloNs);
+            return origin != null && origin.out.size() < Math.max(1, ORIGIN_SHARE * shortestSloNs / pace(origin));
         }
 
         private void pump() {
