--- a/src/main/java/spurroad/Balance.java
+++ b/src/main/java/spurroad/Balance.java
@@ -18,10 +18,7 @@
     static final double PROBE_WAIT_SHARE = 0.05; // of the shortest SLO time: the longest such wait
     static final double LEAST_LIMIT = 2; // queries; the design's floor of the soft limit
     static final double WAIT_SHARE = 0.25; // of the SLO time: queueing at a node before others are asked
-    static final double ORIGIN_START = 8; // queries out at the origin at first: a few, it adapts within a second
-    static final double ORIGIN_STRETCH = 2; // times the origin's best mean time: beyond that it only queues
-    static final double ORIGIN_DRIFT = 1.002; // growth of that best time an end: an origin may change for good
-    static final long ORIGIN_NS = 1_000_000_000L; // ns; memory of the origin's mean time: some tens of ends
+    static final double ORIGIN_SHARE = 0.5; // of the shortest SLO time: queueing at the origin, not here
     static final double PRIOR = 2; // queries; a node counts as having completed so many at the usual pace
     static final long MEMORY_NS = 4_000_000_000L; // ns; pace and health: some tens of queries a node
     static final long RATE_NS = 2_000_000_000L; // ns; a customer's rate: longer than chance, short of a burst
@@ -58,8 +55,6 @@
     private final Fading[] allPace = {new Fading(MEMORY_NS), new Fading(MEMORY_NS)};
     private final Fading allTimes = new Fading(MEMORY_NS), probeTrips = new Fading(MEMORY_NS);
     private final List<Qry> probingQueries = new ArrayList<>();
-    private final Fading originTimes = new Fading(ORIGIN_NS);
-    private double originBest = Double.MAX_VALUE, originLimit = ORIGIN_START;
     private double further = FURTHER_MOST;
     private long followPause = FOLLOW_NS, followAt = Long.MAX_VALUE, sweepAt = Long.MAX_VALUE;
     private boolean following;
@@ -271,7 +266,7 @@
         }
 
         private boolean originHasRoom() {
-            return origin != null && origin.out.size() < originLimit;
+            return origin != null && origin.out.size() < limit(origin, ORIGIN_SHARE * shortestSloNs);
         }
 
         private void pump() {
@@ -342,7 +337,7 @@
         }
 
         private boolean underLimit(Node n, Qry q) {
-            return figure(n) < limit(n, WAIT_SHARE * q.track.sloNs());
+            return now >= n.fullUntil && figure(n) < limit(n, WAIT_SHARE * q.track.sloNs());
         }
 
         private void heard(Qry q, Node n, boolean answered) {
@@ -370,7 +365,8 @@
         }
 
         private Node lowest(List<Node> c) {
-            return c.stream().min(Comparator.comparingDouble(n -> figure(n) * pace(n))).orElseThrow();
+            return c.stream().min(Comparator.comparing((Node n) -> now < n.fullUntil)
+                .thenComparing(n -> figure(n) * pace(n))).orElseThrow();
         }
 
         private void to(Qry q, Node n) {
@@ -566,6 +562,10 @@
         Node n = e.node;
         long took = now - e.sentAt;
         boolean answered = outcome.answered();
+        if (outcome == Outcome.TURNED_AWAY) {
+            // storms: nodes that had just turned queries away were asked again at once (first incidents)
+            n.fullUntil = now + (long) pace(n);
+        }
         if (answered) {
             n.lastAnswerAt = now;
             // work turned away is not carried: counted, it made cold nodes of a lost data centre fall over
@@ -573,16 +573,9 @@
         }
         boolean fetched = given.originKind() == null && (note == CacheNote.MISS || e.qry.write);
         boolean paced = outcome == Outcome.COMPLETED && !fetched;
-        if (n == origin) {
-            boolean lost = outcome == Outcome.TIMED_OUT || outcome == Outcome.TURNED_AWAY;
-            took = lost ? Math.max(took, e.qry.track.sloNs()) : took;
-            paced |= lost;
-            originTimes.add(now, paced ? took : 0, paced ? 1 : 0);
-            double mean = originTimes.ratio(now, 0, 0);
-            originBest = Math.min(originBest * ORIGIN_DRIFT, mean);
-            // one fewer for each lot that came slowly, one more for each lot that came well
-            originLimit = Math.max(LEAST_LIMIT,
-                originLimit + (mean > ORIGIN_STRETCH * originBest ? -1 : 1) / originLimit);
+        if (n == origin && (outcome == Outcome.TIMED_OUT || outcome == Outcome.TURNED_AWAY)) {
+            took = Math.max(took, e.qry.track.sloNs());
+            paced = true;
         }
         if (paced) {
             n.pace[e.scope].add(now, took, e.depth + 1);
