--- a/src/main/java/spurroad/Balance.java
+++ b/src/main/java/spurroad/Balance.java
@@ -18,7 +18,7 @@
     static final double PROBE_WAIT_SHARE = 0.05; // of the shortest SLO time: the longest such wait
     static final double LEAST_LIMIT = 2; // queries; the design's floor of the soft limit
     static final double WAIT_SHARE = 0.25; // of the SLO time: queueing at a node before others are asked
-    static final double ORIGIN_SHARE = 0.5; // of the shortest SLO time: queueing at the origin, not here
+    static final double ORIGIN_SHARE = 0.4; // of the shortest SLO time: queueing at the origin, not here
     static final double PRIOR = 2; // queries; a node counts as having completed so many at the usual pace
     static final long MEMORY_NS = 4_000_000_000L; // ns; pace and health: some tens of queries a node
     static final long RATE_NS = 2_000_000_000L; // ns; a customer's rate: longer than chance, short of a burst
@@ -337,7 +337,7 @@
         }
 
         private boolean underLimit(Node n, Qry q) {
-            return now >= n.fullUntil && figure(n) < limit(n, WAIT_SHARE * q.track.sloNs());
+            return figure(n) < limit(n, WAIT_SHARE * q.track.sloNs());
         }
 
         private void heard(Qry q, Node n, boolean answered) {
@@ -365,8 +365,7 @@
         }
 
         private Node lowest(List<Node> c) {
-            return c.stream().min(Comparator.comparing((Node n) -> now < n.fullUntil)
-                .thenComparing(n -> figure(n) * pace(n))).orElseThrow();
+            return c.stream().min(Comparator.comparingDouble(n -> figure(n) * pace(n))).orElseThrow();
         }
 
         private void to(Qry q, Node n) {
@@ -562,10 +561,6 @@
         Node n = e.node;
         long took = now - e.sentAt;
         boolean answered = outcome.answered();
-        if (outcome == Outcome.TURNED_AWAY) {
-            // storms: nodes that had just turned queries away were asked again at once (first incidents)
-            n.fullUntil = now + (long) pace(n);
-        }
         if (answered) {
             n.lastAnswerAt = now;
             // work turned away is not carried: counted, it made cold nodes of a lost data centre fall over
--- a/src/main/java/spurroad/Node.java
+++ b/src/main/java/spurroad/Node.java
@@ -9,7 +9,7 @@
     NodeEntry entry;
     double reported = Double.NaN;
     long reportedAt = Long.MIN_VALUE / 2;
-    long lastAnswerAt, probeFailedAt, asideUntil, fullUntil, pause;
+    long lastAnswerAt, probeFailedAt, asideUntil, pause;
     int sentSince, trickle, trickleLeft, trickleGood;
     boolean probing, proven = true;
     final List<Exec> out = new ArrayList<>();
