--- /dev/null
+++ b/src/test/java/spurroad/BalanceTest.java
@@ -0,0 +1,302 @@
+package spurroad;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertNotEquals;
+import static org.testng.Assert.assertTrue;
+import static spurroad.Rig.MARKED;
+import static spurroad.Rig.MS;
+import static spurroad.Rig.ONCE;
+import static spurroad.Rig.READ;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.TreeSet;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+import spurroad.model.CacheNote;
+import spurroad.model.DedupScope;
+import spurroad.model.Decisions;
+import spurroad.model.NodeEntry;
+import spurroad.model.Outcome;
+import spurroad.model.Phase;
+import spurroad.model.QueryId;
+import spurroad.model.TrackId;
+
+public class BalanceTest {
+    private static final long KEY = 42;
+
+    /** Track, how its first execution ended, whether another may start, and else whether it is rejected. */
+    @DataProvider
+    Object[][] effects() {
+        return new Object[][] {
+            {READ, Outcome.ERROR, true, false}, {READ, Outcome.TURNED_AWAY, true, false},
+            {READ, Outcome.TIMED_OUT, true, false}, {READ, Outcome.NEVER_SENT, false, true},
+            {MARKED, Outcome.ERROR, true, false}, {MARKED, Outcome.DROPPED, true, false},
+            {MARKED, Outcome.NO_CONNECTION, true, false}, {ONCE, Outcome.TURNED_AWAY, true, false},
+            {ONCE, Outcome.NO_CONNECTION, true, false}, {ONCE, Outcome.MISS, true, false},
+            {ONCE, Outcome.ERROR, false, false}, {ONCE, Outcome.TIMED_OUT, false, false},
+            {ONCE, Outcome.DROPPED, false, false}, {ONCE, Outcome.CANCELLED, false, false}};
+    }
+
+    @Test(dataProvider = "effects")
+    public void runsAgainOnlyWhereTheTrackAllows(TrackId track, Outcome outcome, boolean again, boolean rejected) {
+        Rig rig = Rig.of(6, false);
+        long firstNode = rig.target(1, track, KEY);
+        Decisions d = rig.end(1, 0, outcome);
+        assertEquals(d.starts.size(), again ? 1 : 0);
+        assertEquals(d.answers.size(), again ? 0 : 1);
+        if (again) {
+            assertNotEquals(d.starts.get(0).node().value(), firstNode);
+        } else {
+            assertEquals(d.answers.get(0).rejected(), rejected);
+        }
+    }
+
+    /** Scope of the marks, and when the first execution failed: where a deduplicated query may go next. */
+    @DataProvider
+    Object[][] marks() {
+        return new Object[][] {{DedupScope.ALL, 100, 6}, {DedupScope.ZONE, 100, 3}, {DedupScope.CELL, 100, 2},
+            {DedupScope.ALL, 900, 0}, {DedupScope.ZONE, 900, 0}};
+    }
+
+    @Test(dataProvider = "marks")
+    public void repeatsStayWhereAndWhileTheyAreRecognised(DedupScope scope, long ms, int sharing) {
+        Rig rig = new Rig(false, scope);
+        rig.list(true, Rig.entries(6, false));
+        for (long q = 1; q <= 40; q++) {
+            long node = rig.target(q, MARKED, q);
+            rig.now += ms * MS;
+            Decisions d = rig.end(q, 0, Outcome.ERROR);
+            for (Decisions.Start s : d.starts) {
+                long to = s.node().value();
+                assertTrue(sharing == 6 || (sharing == 3 ? to % 2 == node % 2 : to / 2 == node / 2));
+            }
+            assertTrue(sharing > 0 || d.starts.isEmpty());
+            assertEquals(d.starts.size() + d.answers.size(), 1);
+            boolean safe = scope == DedupScope.ALL && ms < 800;
+            assertTrue(d.answers.isEmpty() || d.answers.get(0).rejected() == safe);
+            rig.now += 20_000 * MS;
+            rig.end(q, 1, Outcome.COMPLETED);
+        }
+    }
+
+    /** Reported queues of the first candidate and the others: who takes the query. */
+    @DataProvider
+    Object[][] queues() {
+        return new Object[][] {{0.0, new double[] {0, 0}, 0}, {500.0, new double[] {400, 0}, 2},
+            {500.0, new double[] {400, 300}, 2}, {100.0, new double[] {400, 300}, 0},
+            {500.0, new double[] {0, 0}, 1}, {Double.NaN, new double[] {0, 0}, 0}};
+    }
+
+    @Test(dataProvider = "queues")
+    public void softLimitThenFirstAnswerThenLowestQueue(double first, double[] others, int taker) {
+        List<Long> c = candidates();
+        Rig rig = Rig.of(8, false);
+        rig.probed(c.get(0), Outcome.COMPLETED, first);
+        Decisions d = rig.ask(1, READ, KEY);
+        for (int i = 0; d.starts.isEmpty() && i < 2; i++) {
+            d = rig.probed(c.get(i + 1), Outcome.COMPLETED, others[i]);
+        }
+        if (!d.starts.isEmpty()) {
+            assertEquals(d.starts.get(0).node().value(), (long) c.get(taker));
+        } else {
+            // every candidate is hopeless for the SLO time: rejected at once
+            assertTrue(d.answers.get(0).rejected());
+            assertTrue(first >= 100 && others[0] > 0);
+        }
+    }
+
+    @Test
+    public void withoutAnAnswerChanceDecidesAmongTheCandidates() {
+        Set<Long> taken = new TreeSet<>();
+        List<Long> c = candidates();
+        for (long q = 1; q <= 30; q++) {
+            Rig rig = Rig.of(8, false);
+            rig.ask(100, READ, 0);
+            rig.probed(c.get(0), Outcome.COMPLETED, 4);
+            for (int i = 0; i < q % 7; i++) {
+                rig.ask(200 + i, READ, 0);
+            }
+            assertTrue(rig.ask(q, READ, KEY).starts.isEmpty());
+            taken.add(rig.after(25).starts.get(0).node().value());
+        }
+        assertTrue(c.containsAll(taken) && taken.size() > 1, taken + " of " + c);
+    }
+
+    /** The first three nodes that a key falls to, found by failing them one after the other. */
+    private static List<Long> candidates() {
+        Rig rig = Rig.of(8, false);
+        List<Long> found = new ArrayList<>(List.of(rig.target(1, READ, KEY)));
+        for (int i = 0; i < 2; i++) {
+            found.add(rig.end(1, i, Outcome.NO_CONNECTION).starts.get(0).node().value());
+        }
+        return found;
+    }
+
+    @Test
+    public void onlyTheKeysOfALeavingNodeMove() {
+        Rig before = Rig.of(8, false), after = Rig.of(8, false);
+        after.list(false, List.of(Rig.entry(3, Phase.GONE, 0)));
+        int moved = 0;
+        for (long key = 1; key <= 300; key++) {
+            long was = before.target(key, READ, key), is = after.target(key, READ, key);
+            before.end(key, 0, Outcome.COMPLETED);
+            after.end(key, 0, Outcome.COMPLETED);
+            assertTrue(was == is || was == 3 && is != 3);
+            moved += was == 3 ? 1 : 0;
+        }
+        assertTrue(moved > 10 && moved < 90, "moved " + moved);
+    }
+
+    /** What the list says of every node: nothing is sent, and the answer comes at once. */
+    @DataProvider
+    Object[][] unusable() {
+        return new Object[][] {{List.of()}, {List.of(Rig.entry(0, Phase.DRAINING, 0))},
+            {List.of(Rig.entry(0, Phase.GONE, 0))}, {Rig.entries(0, true)}};
+    }
+
+    @Test(dataProvider = "unusable")
+    public void nothingGoesToNodesThatMayNotTakeIt(List<NodeEntry> entries) {
+        Rig rig = new Rig(true, DedupScope.ALL);
+        rig.list(true, entries);
+        for (TrackId track : List.of(READ, ONCE)) {
+            Decisions d = rig.ask(track.value(), track, KEY);
+            boolean toOrigin = track == ONCE && entries.size() == 1 && entries.get(0).kind().equals(Rig.ORIGIN);
+            assertEquals(d.starts.size(), toOrigin ? 1 : 0);
+            assertEquals(d.answers.size(), toOrigin ? 0 : 1);
+        }
+    }
+
+    @Test
+    public void spentBudgetIsAnsweredAtOnceAndLateEventsAreHarmless() {
+        Rig rig = Rig.of(4, false);
+        assertEquals(rig.ask(1, READ, KEY, 1, 0).answers.size(), 1);
+        rig.end(1, 0, Outcome.COMPLETED);
+        rig.end(77, 3, Outcome.ERROR);
+        rig.balance.left(rig.now, new QueryId(77), rig.decided);
+        assertEquals(rig.ask(2, READ, KEY).starts.size(), 1);
+        rig.decided.clear();
+        rig.balance.left(rig.now, new QueryId(2), rig.decided);
+        assertEquals(rig.decided.stops.size(), 1);
+        Decisions d = rig.end(2, 0, Outcome.CANCELLED);
+        assertTrue(d.answers.isEmpty() && d.starts.isEmpty());
+    }
+
+    /** Overloaded days: a query near its end was held and released in turn for ever. */
+    @Test(timeOut = 20_000)
+    public void heldQueriesEndBeforeTheirTimeOut() {
+        Rig rig = Rig.of(3, false);
+        int started = 0, ended = 0;
+        for (long q = 0; q < 60; q++) {
+            started += rig.ask(q, READ, KEY, 1, 12 * MS).starts.size();
+            ended += rig.decided.answers.size();
+        }
+        ended += rig.after(7).answers.size();
+        assertTrue(ended > 0);
+        assertEquals(started + ended, 60);
+    }
+
+    /** First incidents: nodes at their limits were asked one after the other by every query. */
+    @Test
+    public void threeNodesThatTurnAQueryAwayEndIt() {
+        Rig rig = Rig.of(12, false);
+        rig.ask(1, READ, KEY);
+        rig.end(1, 0, Outcome.TURNED_AWAY);
+        rig.end(1, 1, Outcome.TURNED_AWAY);
+        Decisions d = rig.end(1, 2, Outcome.TURNED_AWAY);
+        assertTrue(d.starts.isEmpty() && d.answers.get(0).rejected() && d.answers.get(0).comeBackNs() > 0);
+    }
+
+    /** First full score: nodes come back cold and were sent what warm ones turned away too. */
+    @Test
+    public void aColdNodeIsNotSentTheShareOfAWarmOne() {
+        Rig rig = Rig.of(4, false);
+        rig.list(false, List.of(Rig.entry(0, Phase.READY, rig.now)));
+        int cold = 0, sent = 0;
+        for (long q = 1; q <= 400; q++) {
+            long node = rig.target(q, READ, q);
+            cold += node == 0 ? 1 : 0;
+            sent += node >= 0 ? 1 : 0;
+            rig.now += 2 * MS;
+            rig.end(q, 0, node == 0 ? Outcome.COMPLETED : Outcome.TURNED_AWAY);
+            rig.end(q, 1, Outcome.COMPLETED);
+        }
+        assertTrue(cold > 0 && cold < sent / 8, cold + " of " + sent);
+    }
+
+    /** Hangs: a node takes queries and answers none; what may run again moves, the rest stays. */
+    @Test
+    public void aSilentNodeIsSetAsideAndTricklesBack() {
+        Rig rig = Rig.of(5, false);
+        long silent = rig.target(1, READ, KEY);
+        rig.ask(2, MARKED, KEY);
+        rig.ask(3, ONCE, KEY);
+        List<Decisions.Stop> stops = new ArrayList<>();
+        for (int i = 0; i < 12; i++) {
+            stops.addAll(rig.after(50).stops);
+            if (rig.decided.probes.size() > 0) {
+                rig.probed(silent, Outcome.TIMED_OUT, Double.NaN);
+            }
+        }
+        assertEquals(stops.stream().map(s -> s.query().value()).sorted().toList(), List.of(1L, 2L));
+        assertNotEquals(rig.end(1, 0, Outcome.CANCELLED).starts.get(0).node().value(), silent);
+        rig.end(2, 0, Outcome.CANCELLED);
+        assertFalse(rig.end(3, 0, Outcome.TIMED_OUT).answers.get(0).rejected());
+        assertNotEquals(rig.target(4, READ, KEY), silent);
+        rig.after(4000);
+        rig.probed(silent, Outcome.COMPLETED, 0);
+        assertEquals(rig.target(5, READ, KEY), silent);
+        assertNotEquals(rig.target(6, READ, KEY), silent);
+        rig.end(5, 0, Outcome.COMPLETED);
+        assertEquals(rig.target(7, READ, KEY), silent);
+        assertEquals(rig.target(8, READ, KEY), silent);
+    }
+
+    /** Busy scan day: long misses looked like silence, and sound executions were called off. */
+    @Test
+    public void longMissesAreTheUsualTime() {
+        Rig rig = Rig.of(5, false);
+        for (long q = 1; q <= 40; q++) {
+            rig.ask(q, READ, q);
+            rig.now += 400 * MS;
+            rig.end(q, 0, Outcome.COMPLETED, CacheNote.MISS, true);
+        }
+        rig.ask(50, READ, KEY);
+        rig.ask(51, READ, KEY);
+        for (int i = 0; i < 14; i++) {
+            assertTrue(rig.after(50).stops.isEmpty());
+        }
+    }
+
+    @Test
+    public void missesOfOneKeyShareAFetchAndThenLookAgain() {
+        Rig rig = Rig.of(5, true);
+        rig.ask(1, READ, KEY);
+        rig.ask(2, READ, KEY);
+        assertEquals(rig.end(1, 0, Outcome.MISS).starts.get(0).node().value(), 99);
+        assertTrue(rig.end(2, 0, Outcome.MISS).starts.isEmpty());
+        Decisions d = rig.end(1, 1, Outcome.COMPLETED);
+        assertEquals(d.starts.get(0).query().value(), 2);
+        assertNotEquals(d.starts.get(0).node().value(), 99L);
+    }
+
+    @Test
+    public void theListIsFollowedOnceAndAgainAfterGrowingPauses() {
+        Rig rig = new Rig(false, DedupScope.ALL);
+        assertTrue(rig.list(true, Rig.entries(3, false)).follow);
+        assertFalse(rig.list(false, Rig.entries(3, false)).follow);
+        long last = 0;
+        for (int i = 0; i < 3; i++) {
+            rig.decided.clear();
+            rig.balance.listFailed(rig.now, rig.decided);
+            assertFalse(rig.decided.follow);
+            long pause = rig.decided.wakeNs - rig.now;
+            assertTrue(pause >= last);
+            last = pause / 3;
+            rig.now += pause;
+            assertTrue(rig.after(0).follow);
+        }
+    }
+}
