No pause for another proxy's fetch

Cause: the pause lasted one origin time on the word of a cache, and the look after it mostly missed again.

--- a/src/main/java/spurroad/Balance.java
+++ b/src/main/java/spurroad/Balance.java
@@ -284,15 +284,8 @@
                 previous.back(q, e, outcome, note);
                 return;
             }
-            boolean elsewhere = note == CacheNote.FETCH_OUT && !q.pausedForFetch;
-            q.pausedForFetch |= elsewhere;
-            q.missed = !elsewhere;
-            if (elsewhere) {
-                // another proxy fetches this key already: wait one fetch and look again
-                hold(q, Hold.PAUSE, Math.min(q.sloAt, now + (long) expected(origin, 0)));
-            } else {
-                pass(q);
-            }
+            q.missed = true;
+            pass(q);
         }
 
         /** The fetch of a key is over: those who waited look at the cache again, or one of them leads. */
@@ -498,9 +491,6 @@
     private void heldLongEnough(Qry q) {
         if (q.hold == Hold.PROBES) {
             choice.waited(q);
-        } else if (q.hold == Hold.PAUSE && now < q.sloAt) {
-            release(q);
-            first.pass(q);
         } else {
             giveUp(q);
         }
--- a/src/main/java/spurroad/Hold.java
+++ b/src/main/java/spurroad/Hold.java
@@ -1,4 +1,4 @@
 package spurroad;
 
 /** Why a query is held with nothing sent. */
-enum Hold { NONE, PROBES, ORIGIN, FETCH, PAUSE }
+enum Hold { NONE, PROBES, ORIGIN, FETCH }
--- a/src/main/java/spurroad/Qry.java
+++ b/src/main/java/spurroad/Qry.java
@@ -14,7 +14,7 @@
     Track track;
     CacheKey key;
     long order, point, sloAt, endAt;
-    boolean beyondShare, write, missed, pausedForFetch, served, done;
+    boolean beyondShare, write, missed, served, done;
     final List<Exec> execs = new ArrayList<>(2);
     int out, holds;
     Exec mayHaveRun;
