--- a/src/main/java/spurroad/Balance.java
+++ b/src/main/java/spurroad/Balance.java
@@ -30,8 +30,6 @@
     static final double SILENCE = 6; // times the usual time, over all that is out: chance hardly makes it
     static final double LEAST_USUAL = 0.1; // of the shortest SLO time: the usual time is not taken shorter
     static final long SWEEP_NS = 50_000_000L; // ns; how often silence is looked for: short beside time-outs
-    static final double FURTHER = 0.2; // further executions a first one allows: failures do not multiply
-    static final double FURTHER_MOST = 20; // further executions saved up: a node's worth of losses at once
     static final double BEYOND_SHARE = 0.5; // of the soft limit, for queries beyond a customer's share
     static final double COME_BACK = 0.5; // of the SLO time until a rejected client may try: queues have moved
     static final long FOLLOW_NS = 500_000_000L; // ns; first pause before following the list again
@@ -55,7 +53,6 @@
     private final Fading[] allPace = {new Fading(MEMORY_NS), new Fading(MEMORY_NS)};
     private final Fading allTimes = new Fading(MEMORY_NS), probeTrips = new Fading(MEMORY_NS);
     private final List<Qry> probingQueries = new ArrayList<>();
-    private double further = FURTHER_MOST;
     private long followPause = FOLLOW_NS, followAt = Long.MAX_VALUE, sweepAt = Long.MAX_VALUE;
     private boolean following;
     private int out;
@@ -129,7 +126,6 @@
             q.beyondShare = part < 1 && random.nextDouble() > part;
         }
         queries.put(id, q);
-        further = Math.min(FURTHER_MOST, further + FURTHER);
         first.pass(q);
         finish();
     }
@@ -225,7 +221,6 @@
 
         @Override
         void back(Qry q, Exec e, Outcome outcome, CacheNote note) {
-            boolean unseen = outcome.provesNotRun();
             boolean inTime = now + given.tickNs() < (q.track.lateShare() > 0 ? q.endAt : q.sloAt);
             // storms: queries turned away everywhere went on to every node (first incidents)
             boolean allFull = outcome == Outcome.TURNED_AWAY && q.avoid.size() >= CANDIDATES
@@ -233,10 +228,9 @@
             if (q.out > 0) {
                 return;
             }
-            if (allFull || outcome == Outcome.NEVER_SENT || !inTime || !unseen && further < 1) {
+            if (allFull || outcome == Outcome.NEVER_SENT || !inTime) {
                 giveUp(q);
             } else {
-                further -= unseen ? 0 : 1;
                 pass(q);
             }
         }
