--- a/src/main/java/spurroad/Balance.java
+++ b/src/main/java/spurroad/Balance.java
@@ -30,7 +30,10 @@
     static final double SILENCE = 6; // times the usual time, over all that is out: chance hardly makes it
     static final double LEAST_USUAL = 0.1; // of the shortest SLO time: the usual time is not taken shorter
     static final long SWEEP_NS = 50_000_000L; // ns; how often silence is looked for: short beside time-outs
+    static final double FURTHER = 0.2; // further executions a first one allows: failures do not multiply
+    static final double FURTHER_MOST = 20; // further executions saved up: a node's worth of losses at once
     static final double BEYOND_SHARE = 0.5; // of the soft limit, for queries beyond a customer's share
+    static final double SHED_SHARE = 0.5; // of the shortest SLO time: queues that lesser tracks may find
     static final double COME_BACK = 0.5; // of the SLO time until a rejected client may try: queues have moved
     static final long FOLLOW_NS = 500_000_000L; // ns; first pause before following the list again
     static final long LONGEST_FOLLOW_NS = 8_000_000_000L; // ns; the list is one service for all proxies
@@ -38,6 +41,7 @@
     private final Deployment given;
     private final Random random;
     private final long shortestSloNs;
+    private final double mostImportance;
     private final Fading[] customerSent;
     private final Stage first = new Entry();
     private final Fetch fetch = new Fetch();
@@ -53,6 +57,7 @@
     private final Fading[] allPace = {new Fading(MEMORY_NS), new Fading(MEMORY_NS)};
     private final Fading allTimes = new Fading(MEMORY_NS), probeTrips = new Fading(MEMORY_NS);
     private final List<Qry> probingQueries = new ArrayList<>();
+    private double further = FURTHER_MOST;
     private long followPause = FOLLOW_NS, followAt = Long.MAX_VALUE, sweepAt = Long.MAX_VALUE;
     private boolean following;
     private int out;
@@ -63,6 +68,7 @@
         given = start;
         random = new Random(seed);
         shortestSloNs = start.tracks().stream().mapToLong(Track::sloNs).min().orElse(FRESH_NS);
+        mostImportance = start.tracks().stream().mapToDouble(Track::importance).max().orElse(0);
         customerSent = start.customerPace().stream().map(p -> new Fading(RATE_NS)).toArray(Fading[]::new);
         Stage[] chain = {first, fetch, choice, sending};
         for (int i = 0; i + 1 < chain.length; i++) {
@@ -126,6 +132,7 @@
             q.beyondShare = part < 1 && random.nextDouble() > part;
         }
         queries.put(id, q);
+        further = Math.min(FURTHER_MOST, further + FURTHER);
         first.pass(q);
         finish();
     }
@@ -221,6 +228,7 @@
 
         @Override
         void back(Qry q, Exec e, Outcome outcome, CacheNote note) {
+            boolean unseen = outcome.provesNotRun();
             boolean inTime = now + given.tickNs() < (q.track.lateShare() > 0 ? q.endAt : q.sloAt);
             // storms: queries turned away everywhere went on to every node (first incidents)
             boolean allFull = outcome == Outcome.TURNED_AWAY && q.avoid.size() >= CANDIDATES
@@ -228,9 +236,10 @@
             if (q.out > 0) {
                 return;
             }
-            if (allFull || outcome == Outcome.NEVER_SENT || !inTime) {
+            if (allFull || outcome == Outcome.NEVER_SENT || !inTime || !unseen && further < 1) {
                 giveUp(q);
             } else {
+                further -= unseen ? 0 : 1;
                 pass(q);
             }
         }
@@ -357,7 +366,9 @@
 
         private void to(Qry q, Node n) {
             boolean crowded = figure(n) >= BEYOND_SHARE * limit(n, WAIT_SHARE * q.track.sloNs());
-            boolean late = expected(n, 0) > q.sloAt - now;
+            // overloaded days: reads filled the queues up to their own SLO time, past that of worthier tracks
+            double room = q.track.importance() < mostImportance ? SHED_SHARE * shortestSloNs : Long.MAX_VALUE;
+            boolean late = expected(n, 0) > Math.min(room, q.sloAt - now);
             if (q.beyondShare && crowded || late && q.track.lateShare() == 0 && q.execs.isEmpty()) {
                 giveUp(q);
             } else {
