--- a/src/main/java/spurroad/Balance.java
+++ b/src/main/java/spurroad/Balance.java
@@ -369,10 +369,13 @@
             // overloaded days: reads filled the queues up to their own SLO time, past that of worthier tracks
             double room = q.track.importance() < mostImportance ? SHED_SHARE * shortestSloNs : Long.MAX_VALUE;
             boolean late = expected(n, 0) > Math.min(room, q.sloAt - now);
-            if (q.beyondShare && crowded || late && q.track.lateShare() == 0 && q.execs.isEmpty()) {
+            late &= q.track.lateShare() == 0 && q.execs.isEmpty();
+            // hot keys and hung candidates: reads were rejected while nodes further on had room (busy days)
+            q.target = !late ? n : ring.clockwise(q.point)
+                .filter(o -> fresh(o) && ready(o, q) && figure(o) < limit(o, room / 2)).findFirst().orElse(null);
+            if (q.beyondShare && crowded || q.target == null) {
                 giveUp(q);
             } else {
-                q.target = n;
                 next.pass(q);
             }
         }
@@ -675,15 +678,8 @@
 
     /** The first distinct nodes clockwise from the key; where none is ready, those that may be sent to. */
     private List<Node> walk(Qry q, boolean onlyReady) {
-        List<Node> found = new ArrayList<>(CANDIDATES);
-        int from = ring.from(q.point);
-        for (int i = 0; i < ring.size() && found.size() < CANDIDATES; i++) {
-            Node n = ring.at(from + i);
-            if (!found.contains(n) && (onlyReady ? ready(n, q) : hasRoomWhileCold(n) && maySend(q, n))) {
-                found.add(n);
-            }
-        }
-        return found;
+        return ring.clockwise(q.point).distinct()
+            .filter(n -> onlyReady ? ready(n, q) : hasRoomWhileCold(n) && maySend(q, n)).limit(CANDIDATES).toList();
     }
 
     private void buildRing() {
--- a/src/main/java/spurroad/Ring.java
+++ b/src/main/java/spurroad/Ring.java
@@ -4,6 +4,8 @@
 import java.util.Collections;
 import java.util.Comparator;
 import java.util.List;
+import java.util.stream.IntStream;
+import java.util.stream.Stream;
 
 /** A consistent hash ring: each node owns some points, and a key's nodes lie clockwise from its hash. */
 final class Ring {
@@ -23,18 +25,11 @@
         points.sort(CLOCKWISE.thenComparingLong(p -> p.node.entry.id().value()));
     }
 
-    int size() {
-        return points.size();
-    }
-
-    /** The place of the first point at or after a hash. */
-    int from(long hash) {
+    /** The owners of the points from a hash on, once around; a node comes as often as it owns points. */
+    Stream<Node> clockwise(long hash) {
         int at = Collections.binarySearch(points, new Point(hash, null), CLOCKWISE);
-        return at < 0 ? -at - 1 : at;
-    }
-
-    Node at(int place) {
-        return points.get(place % points.size()).node;
+        int from = at < 0 ? -at - 1 : at;
+        return IntStream.range(0, points.size()).mapToObj(i -> points.get((from + i) % points.size()).node);
     }
 
     /** Spreads the bits of an id evenly (the finisher of SplitMix64). */
