--- a/src/main/java/spurroad/Balance.java
+++ b/src/main/java/spurroad/Balance.java
@@ -33,7 +33,7 @@
     static final double FURTHER = 0.2; // further executions a first one allows: failures do not multiply
     static final double FURTHER_MOST = 20; // further executions saved up: a node's worth of losses at once
     static final double BEYOND_SHARE = 0.5; // of the soft limit, for queries beyond a customer's share
-    static final double SHED_SHARE = 0.5; // of the shortest SLO time: queues that lesser tracks may find
+    static final double SHED_SHARE = 0.7; // of the shortest SLO time: queues that lesser tracks may find
     static final double COME_BACK = 0.5; // of the SLO time until a rejected client may try: queues have moved
     static final long FOLLOW_NS = 500_000_000L; // ns; first pause before following the list again
     static final long LONGEST_FOLLOW_NS = 8_000_000_000L; // ns; the list is one service for all proxies
@@ -369,13 +369,10 @@
             // overloaded days: reads filled the queues up to their own SLO time, past that of worthier tracks
             double room = q.track.importance() < mostImportance ? SHED_SHARE * shortestSloNs : Long.MAX_VALUE;
             boolean late = expected(n, 0) > Math.min(room, q.sloAt - now);
-            late &= q.track.lateShare() == 0 && q.execs.isEmpty();
-            // hot keys and hung candidates: reads were rejected while nodes further on had room (busy days)
-            q.target = !late ? n : ring.clockwise(q.point)
-                .filter(o -> fresh(o) && ready(o, q) && figure(o) < limit(o, room / 2)).findFirst().orElse(null);
-            if (q.beyondShare && crowded || q.target == null) {
+            if (q.beyondShare && crowded || late && q.track.lateShare() == 0 && q.execs.isEmpty()) {
                 giveUp(q);
             } else {
+                q.target = n;
                 next.pass(q);
             }
         }
@@ -679,7 +676,8 @@
     /** The first distinct nodes clockwise from the key; where none is ready, those that may be sent to. */
     private List<Node> walk(Qry q, boolean onlyReady) {
         return ring.clockwise(q.point).distinct()
-            .filter(n -> onlyReady ? ready(n, q) : hasRoomWhileCold(n) && maySend(q, n)).limit(CANDIDATES).toList();
+            .filter(n -> onlyReady ? ready(n, q) : hasRoomWhileCold(n) && maySend(q, n))
+            .limit(CANDIDATES).toList();
     }
 
     private void buildRing() {
