--- a/src/main/java/spurroad/Balance.java
+++ b/src/main/java/spurroad/Balance.java
@@ -333,7 +333,13 @@
         }
 
         private boolean underLimit(Node n, Qry q) {
-            return figure(n) < limit(n, WAIT_SHARE * q.track.sloNs());
+            return figure(n) < limit(n, WAIT_SHARE * q.track.sloNs()) && !late(n, q);
+        }
+
+        private boolean late(Node n, Qry q) {
+            // overloaded days: reads filled the queues up to their own SLO time, past that of worthier tracks
+            double room = q.track.importance() < mostImportance ? SHED_SHARE * shortestSloNs : Long.MAX_VALUE;
+            return q.track.lateShare() == 0 && expected(n, 0) > Math.min(room, q.sloAt - now);
         }
 
         private void heard(Qry q, Node n, boolean answered) {
@@ -361,15 +367,12 @@
         }
 
         private Node lowest(List<Node> c) {
-            return c.stream().min(Comparator.comparingDouble(n -> figure(n) * pace(n))).orElseThrow();
+            return c.stream().min(Comparator.comparingDouble(n -> expected(n, 0))).orElseThrow();
         }
 
         private void to(Qry q, Node n) {
             boolean crowded = figure(n) >= BEYOND_SHARE * limit(n, WAIT_SHARE * q.track.sloNs());
-            // overloaded days: reads filled the queues up to their own SLO time, past that of worthier tracks
-            double room = q.track.importance() < mostImportance ? SHED_SHARE * shortestSloNs : Long.MAX_VALUE;
-            boolean late = expected(n, 0) > Math.min(room, q.sloAt - now);
-            if (q.beyondShare && crowded || late && q.track.lateShare() == 0 && q.execs.isEmpty()) {
+            if (q.beyondShare && crowded || late(n, q) && q.execs.isEmpty()) {
                 giveUp(q);
             } else {
                 q.target = n;
