--- a/src/main/java/spurroad/Balance.java
+++ b/src/main/java/spurroad/Balance.java
@@ -520,12 +520,13 @@
         int s = fresh(n) ? 1 : 0;
         Fading seen = n.pace[s].at(now);
         double usual = allPace[s].ratio(now, PRIOR, shortestSloNs * WAIT_SHARE / CANDIDATES);
-        // a node that falls silent slows down before any of its executions has ended
-        return (seen.top + PRIOR * usual + unanswered(n)) / (seen.bottom + PRIOR);
+        return (seen.top + PRIOR * usual) / (seen.bottom + PRIOR);
     }
 
     private double limit(Node n, double waitNs) {
-        return Math.max(LEAST_LIMIT, waitNs / pace(n));
+        // a node that falls silent slows down before any of its executions has ended
+        double slower = unanswered(n) / (n.pace[fresh(n) ? 1 : 0].at(now).bottom + PRIOR);
+        return Math.max(LEAST_LIMIT, waitNs / (pace(n) + slower));
     }
 
     private double expected(Node n, int ahead) {
