--- a/src/main/java/spurroad/Balance.java
+++ b/src/main/java/spurroad/Balance.java
@@ -33,7 +33,7 @@
     static final double FURTHER = 0.2; // further executions a first one allows: failures do not multiply
     static final double FURTHER_MOST = 20; // further executions saved up: a node's worth of losses at once
     static final double BEYOND_SHARE = 0.5; // of the soft limit, for queries beyond a customer's share
-    static final double SHED_SHARE = 0.7; // of the shortest SLO time: queues that lesser tracks may find
+    static final double SHED_SHARE = 0.4; // of the shortest SLO time: queues that lesser tracks may find
     static final double COME_BACK = 0.5; // of the SLO time until a rejected client may try: queues have moved
     static final long FOLLOW_NS = 500_000_000L; // ns; first pause before following the list again
     static final long LONGEST_FOLLOW_NS = 8_000_000_000L; // ns; the list is one service for all proxies
