--- a/src/main/java/spurroad/Balance.java
+++ b/src/main/java/spurroad/Balance.java
@@ -169,8 +169,8 @@
                 n.probeFailedAt = now;
                 n.asideUntil = n.proven ? n.asideUntil : Math.max(n.asideUntil, now + n.pause);
             }
-            for (Qry q : List.copyOf(probingQueries)) {
-                choice.heard(q, n, answered);
+            for (Qry q : answered ? List.copyOf(probingQueries) : List.<Qry>of()) {
+                choice.heard(q, n);
             }
         }
         finish();
@@ -179,9 +179,8 @@
     /** The client left; no answer is owed. */
     public void left(long at, QueryId id, Decisions into) {
         begin(at, into);
-        Qry q = queries.get(id);
-        if (q != null) {
-            close(q);
+        if (queries.containsKey(id)) {
+            close(queries.get(id));
         }
         finish();
     }
@@ -201,10 +200,8 @@
         for (Qry q = agenda.due(now); q != null; q = agenda.due(now)) {
             heldLongEnough(q);
         }
-        if (followAt <= now) {
-            followAt = Long.MAX_VALUE;
-            decisions.follow = true;
-        }
+        decisions.follow |= followAt <= now;
+        followAt = followAt <= now ? Long.MAX_VALUE : followAt;
         if (sweepAt <= now) {
             sweepAt = Long.MAX_VALUE;
             sweep();
@@ -316,20 +313,21 @@
                 return;
             }
             Node local = c.get(0);
+            q.asked.clear();
             if (underLimit(local, q) || c.size() == 1 || !given.probes()) {
                 if (!fresh(local) && !Double.isNaN(local.reported)) {
                     probe(local);
                 }
-                to(q, underLimit(local, q) ? local : lowest(c));
+                to(q, underLimit(local, q) ? local : lowest(q, c));
                 return;
             }
             q.candidates = c;
-            q.answered = false;
-            q.asked.clear();
             q.asked.addAll(c.subList(1, c.size()));
-            c.subList(1, c.size()).forEach(Balance.this::probe);
+            q.asked.forEach(Balance.this::probe);
             probingQueries.add(q);
-            hold(q, Hold.PROBES, now + probeWait());
+            double trips = PROBE_TRIPS * probeTrips.ratio(now, 1, 0);
+            trips = Math.max(PROBE_WAIT_NS, Math.min(trips, PROBE_WAIT_SHARE * shortestSloNs));
+            hold(q, Hold.PROBES, now + (long) trips);
         }
 
         private boolean underLimit(Node n, Qry q) {
@@ -342,32 +340,35 @@
             return q.track.lateShare() == 0 && expected(n, 0) > Math.min(room, q.sloAt - now);
         }
 
-        private void heard(Qry q, Node n, boolean answered) {
-            if (q.hold != Hold.PROBES || !q.asked.remove(n)) {
-                return;
-            }
-            q.answered |= answered;
-            if (answered && ready(n, q) && underLimit(n, q)) {
-                release(q);
-                to(q, n);
-            } else if (q.asked.isEmpty()) {
-                waited(q);
+        private void heard(Qry q, Node n) {
+            if (q.hold == Hold.PROBES && q.asked.remove(n)) {
+                if (ready(n, q) && underLimit(n, q)) {
+                    release(q);
+                    to(q, n);
+                } else if (q.asked.isEmpty()) {
+                    waited(q);
+                }
             }
         }
 
-        /** No answer was under the limit: the lowest queue, the silent ones taken at the mean; or chance. */
+        /** No answer was under the limit: the lowest queue; or chance, where there was no answer. */
         private void waited(Qry q) {
             List<Node> c = q.candidates.stream().filter(n -> ready(n, q)).toList();
             release(q);
             if (c.isEmpty() || now + given.tickNs() >= q.endAt) {
                 giveUp(q);
             } else {
-                to(q, q.answered ? lowest(c) : c.get(random.nextInt(c.size())));
+                boolean answered = q.asked.size() < q.candidates.size() - 1;
+                to(q, answered ? lowest(q, c) : c.get(random.nextInt(c.size())));
             }
         }
 
-        private Node lowest(List<Node> c) {
-            return c.stream().min(Comparator.comparingDouble(n -> expected(n, 0))).orElseThrow();
+        /** The shortest queue in time; a candidate that has not answered counts as the mean of the others. */
+        private Node lowest(Qry q, List<Node> c) {
+            double mean = c.stream().filter(n -> !q.asked.contains(n)).mapToDouble(n -> expected(n, 0))
+                .average().orElse(0);
+            return c.stream().min(Comparator.comparingDouble(
+                n -> q.asked.contains(n) ? mean : expected(n, 0))).orElseThrow();
         }
 
         private void to(Qry q, Node n) {
@@ -533,11 +534,6 @@
         return pace(n) * (figure(n) + ahead + 1);
     }
 
-    private long probeWait() {
-        double trip = probeTrips.ratio(now, 1, 0);
-        return Math.max(PROBE_WAIT_NS, (long) Math.min(PROBE_TRIPS * trip, PROBE_WAIT_SHARE * shortestSloNs));
-    }
-
     private void probe(Node n) {
         if (given.probes() && !n.probing) {
             n.probing = true;
@@ -571,9 +567,7 @@
             took = Math.max(took, e.qry.track.sloNs());
             paced = true;
         }
-        if (paced) {
-            n.pace[e.scope].add(now, took, e.depth + 1);
-        }
+        n.pace[e.scope].add(now, paced ? took : 0, paced ? e.depth + 1 : 0);
         if (n == origin || outcome == Outcome.NEVER_SENT || e.stopped && outcome == Outcome.CANCELLED) {
             return;
         }
@@ -603,9 +597,8 @@
 
     /** The bad share of the better nodes: trouble that these have too is no node's own. */
     private double usualBadShare() {
-        double[] shares = nodes.values().stream().filter(n -> n != origin && n.entry.phase() == Phase.READY)
-            .mapToDouble(n -> n.bad.ratio(now, 0, 0)).sorted().toArray();
-        return shares.length == 0 ? 0 : shares[shares.length / 4];
+        return nodes.values().stream().filter(n -> n != origin && n.entry.phase() == Phase.READY)
+            .mapToDouble(n -> n.bad.ratio(now, 0, 0)).sorted().skip(nodes.size() / 4).findFirst().orElse(0);
     }
 
     private void setAside(Node n) {
--- a/src/main/java/spurroad/Qry.java
+++ b/src/main/java/spurroad/Qry.java
@@ -1,7 +1,7 @@
 package spurroad;
 
 import java.util.ArrayList;
-import java.util.HashSet;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
 import spurroad.model.CacheKey;
@@ -20,8 +20,7 @@
     Exec mayHaveRun;
     Hold hold = Hold.NONE;
     List<Node> candidates = List.of();
-    final Set<Node> asked = new HashSet<>(4);
-    boolean answered;
+    final Set<Node> asked = new LinkedHashSet<>(4);
     final List<Node> avoid = new ArrayList<>(2);
     Node target;
 }
