A cold node gets a small share a proxy, begun at chance times: fail-back kept again

Cause: each of twelve proxies was allowed one query a window at least, all at the moment the list named the node.

--- a/src/main/java/spurroad/Balance.java
+++ b/src/main/java/spurroad/Balance.java
@@ -26,6 +26,7 @@
     static final double BAD_SHARE = 0.3; // of its ends, above twice that of the better nodes
     static final long PAUSE_NS = 500_000_000L; // ns; first pause of a node set aside: short beside a fault
     static final long LONGEST_PAUSE_NS = 4_000_000_000L; // ns; a node that is well again waits no longer
+    static final double COLD_ROOM = 0.2; // queries; a proxy's least share of a cold node: one in some windows
     static final int TRICKLE_END = 8; // queries; a trickle doubled beyond this is an ordinary flow
     static final double SILENCE = 6; // times the usual time, over all that is out: chance hardly makes it
     static final double LEAST_USUAL = 0.1; // of the shortest SLO time: the usual time is not taken shorter
@@ -87,7 +88,10 @@
             named.add(e.id());
             Node n = nodes.get(e.id());
             if (n == null || n.entry.startedNs() != e.startedNs()) {
-                nodes.put(e.id(), new Node(e, MEMORY_NS, Math.max(given.fallNs(), SWEEP_NS), PAUSE_NS));
+                Node fresh = new Node(e, MEMORY_NS, Math.max(given.fallNs(), SWEEP_NS), PAUSE_NS);
+                // many proxies began with a cold node at the same moment and pushed it over (release incident)
+                fresh.load.add(now, 2 * random.nextDouble(), 0);
+                nodes.put(e.id(), fresh);
             } else {
                 n.entry = e;
             }
@@ -558,8 +562,8 @@
         boolean answered = outcome.answered();
         if (answered) {
             n.lastAnswerAt = now;
-            // work turned away is not carried: counted, it made cold nodes of a lost data centre fall over
-            n.load.add(now, 0, outcome == Outcome.TURNED_AWAY ? 0 : 1);
+            // only completed work is carried: counting the rest made cold nodes of a lost data centre fall over
+            n.load.add(now, 0, outcome == Outcome.COMPLETED ? 1 : 0);
         }
         boolean fetched = given.originKind() == null && (note == CacheNote.MISS || e.qry.write);
         boolean paced = outcome == Outcome.COMPLETED && !fetched;
@@ -667,7 +671,7 @@
         double weight = warm.stream().mapToDouble(o -> o.entry.weight()).sum();
         double cold = (1 - given.startCapacity()) * (1 - (double) Math.max(0, age) / given.coldNs());
         double room = (1 - cold) * carried / Math.max(1e-9, weight) * n.entry.weight();
-        return n.load.at(now).top < Math.max(1, room);
+        return n.load.at(now).top < Math.max(COLD_ROOM, room);
     }
 
     /** The first distinct nodes clockwise from the key; where none is ready, those that may be sent to. */
