--- a/src/main/java/spurroad/Balance.java
+++ b/src/main/java/spurroad/Balance.java
@@ -341,7 +341,7 @@
         private boolean late(Node n, Qry q) {
             // overloaded days: reads filled the queues up to their own SLO time, past that of worthier tracks
             double room = q.track.importance() < mostImportance ? SHED_SHARE * shortestSloNs : Long.MAX_VALUE;
-            return q.track.lateShare() == 0 && expected(n, 0) > Math.min(room, q.sloAt - now);
+            return expected(n, 0) > Math.min(room, q.sloAt - now);
         }
 
         private void heard(Qry q, Node n) {
