--- a/src/main/java/spurroad/Balance.java
+++ b/src/main/java/spurroad/Balance.java
@@ -232,8 +232,7 @@
             boolean unseen = outcome.provesNotRun();
             boolean inTime = now + given.tickNs() < (q.track.lateShare() > 0 ? q.endAt : q.sloAt);
             // storms: queries turned away everywhere went on to every node (first incidents)
-            boolean allFull = outcome == Outcome.TURNED_AWAY && q.avoid.size() >= CANDIDATES
-                && (given.originKind() == null || !fetch.originHasRoom());
+            boolean allFull = outcome == Outcome.TURNED_AWAY && q.avoid.size() >= CANDIDATES;
             if (q.out > 0) {
                 return;
             }
