--- a/src/main/java/spurroad/Balance.java
+++ b/src/main/java/spurroad/Balance.java
@@ -232,7 +232,8 @@
             boolean unseen = outcome.provesNotRun();
             boolean inTime = now + given.tickNs() < (q.track.lateShare() > 0 ? q.endAt : q.sloAt);
             // storms: queries turned away everywhere went on to every node (first incidents)
-            boolean allFull = outcome == Outcome.TURNED_AWAY && q.avoid.size() >= CANDIDATES;
+            boolean allFull = outcome == Outcome.TURNED_AWAY && q.avoid.size() >= CANDIDATES
+                && (given.originKind() == null || !fetch.originHasRoom());
             if (q.out > 0) {
                 return;
             }
@@ -340,7 +341,7 @@
         private boolean late(Node n, Qry q) {
             // overloaded days: reads filled the queues up to their own SLO time, past that of worthier tracks
             double room = q.track.importance() < mostImportance ? SHED_SHARE * shortestSloNs : Long.MAX_VALUE;
-            return expected(n, 0) > Math.min(room, q.sloAt - now);
+            return q.track.lateShare() == 0 && expected(n, 0) > Math.min(room, q.sloAt - now);
         }
 
         private void heard(Qry q, Node n) {
