--- a/src/main/java/spurroad/Balance.java
+++ b/src/main/java/spurroad/Balance.java
@@ -18,6 +18,7 @@
     static final double PROBE_WAIT_SHARE = 0.05; // of the shortest SLO time: the longest such wait
     static final double LEAST_LIMIT = 2; // queries; the design's floor of the soft limit
     static final double WAIT_SHARE = 0.25; // of the SLO time: queueing at a node before others are asked
+    static final int KNOWN_KEYS = 4096; // keys; whose last node is remembered: more than pass in a few seconds
     static final double ORIGIN_SHARE = 0.4; // of the shortest SLO time: queueing at the origin, not here
     static final double PRIOR = 2; // queries; a node counts as having completed so many at the usual pace
     static final long MEMORY_NS = 4_000_000_000L; // ns; pace and health: some tens of queries a node
@@ -57,6 +58,8 @@
         .thenComparing(q -> -q.track.importance()).thenComparing(q -> !q.write).thenComparing(q -> q.order));
     private final Fading[] allPace = {new Fading(MEMORY_NS), new Fading(MEMORY_NS)};
     private final Fading allTimes = new Fading(MEMORY_NS), probeTrips = new Fading(MEMORY_NS);
+    private final Fading fetchTimes = new Fading(MEMORY_NS);
+    private final Known known = new Known(KNOWN_KEYS);
     private final List<Qry> probingQueries = new ArrayList<>();
     private double further = FURTHER_MOST;
     private long followPause = FOLLOW_NS, followAt = Long.MAX_VALUE, sweepAt = Long.MAX_VALUE;
@@ -83,9 +86,10 @@
     /** The list came, whole or as changes. */
     public void listed(long at, List<NodeEntry> entries, boolean complete, Decisions into) {
         begin(at, into);
-        Set<NodeId> named = new HashSet<>();
+        for (Node n : complete ? nodes.values() : List.<Node>of()) {
+            n.entry = n.entry.gone();
+        }
         for (NodeEntry e : entries) {
-            named.add(e.id());
             Node n = nodes.get(e.id());
             if (n == null || n.entry.startedNs() != e.startedNs()) {
                 Node fresh = new Node(e, MEMORY_NS, Math.max(given.fallNs(), SWEEP_NS), PAUSE_NS);
@@ -96,9 +100,6 @@
                 n.entry = e;
             }
         }
-        for (Node n : complete ? nodes.values() : List.<Node>of()) {
-            n.entry = named.contains(n.entry.id()) ? n.entry : n.entry.gone();
-        }
         buildRing();
         followPause = following ? FOLLOW_NS : followPause;
         into.follow = given.mustAsk() && !following;
@@ -202,7 +203,11 @@
 
     private void finish() {
         for (Qry q = agenda.due(now); q != null; q = agenda.due(now)) {
-            heldLongEnough(q);
+            if (q.hold == Hold.PROBES) {
+                choice.waited(q);
+            } else {
+                giveUp(q);
+            }
         }
         decisions.follow |= followAt <= now;
         followAt = followAt <= now ? Long.MAX_VALUE : followAt;
@@ -220,11 +225,7 @@
     /** Takes a query in and owes its final answer. */
     private final class Entry extends Stage {
         void pass(Qry q) {
-            if (q.endAt > now + given.tickNs()) {
-                next.pass(q);
-            } else {
-                giveUp(q);
-            }
+            next.pass(q);
         }
 
         @Override
@@ -312,7 +313,7 @@
         void pass(Qry q) {
             List<Node> c = walk(q, true);
             c = c.isEmpty() ? walk(q, false) : c;
-            if (c.isEmpty()) {
+            if (c.isEmpty() || q.endAt <= now + given.tickNs()) {
                 giveUp(q);
                 return;
             }
@@ -341,7 +342,9 @@
         private boolean late(Node n, Qry q) {
             // overloaded days: reads filled the queues up to their own SLO time, past that of worthier tracks
             double room = q.track.importance() < mostImportance ? SHED_SHARE * shortestSloNs : Long.MAX_VALUE;
-            return q.track.lateShare() == 0 && expected(n, 0) > Math.min(room, q.sloAt - now);
+            // slow origin: reads that would miss held places that hits could have had (origin incident)
+            double fetch = known.get(q.key) == n ? 0 : fetchTimes.ratio(now, PRIOR, 0);
+            return q.track.lateShare() == 0 && expected(n, 0) + fetch > Math.min(room, q.sloAt - now);
         }
 
         private void heard(Qry q, Node n) {
@@ -501,14 +504,6 @@
         q.hold = Hold.NONE;
     }
 
-    private void heldLongEnough(Qry q) {
-        if (q.hold == Hold.PROBES) {
-            choice.waited(q);
-        } else {
-            giveUp(q);
-        }
-    }
-
     // ---- figures
 
     private boolean fresh(Node n) {
@@ -567,6 +562,10 @@
         }
         boolean fetched = given.originKind() == null && (note == CacheNote.MISS || e.qry.write);
         boolean paced = outcome == Outcome.COMPLETED && !fetched;
+        if (given.originKind() == null && !e.qry.write && (outcome == Outcome.COMPLETED || outcome == Outcome.TIMED_OUT)) {
+            fetchTimes.add(now, paced ? 0 : took, paced ? 0 : 1);
+            known.put(e.qry.key, outcome == Outcome.COMPLETED ? n : null);
+        }
         if (n == origin && (outcome == Outcome.TIMED_OUT || outcome == Outcome.TURNED_AWAY)) {
             took = Math.max(took, e.qry.track.sloNs());
             paced = true;
