--- a/src/main/java/spurroad/Balance.java
+++ b/src/main/java/spurroad/Balance.java
@@ -18,7 +18,8 @@
     static final double PROBE_WAIT_SHARE = 0.05; // of the shortest SLO time: the longest such wait
     static final double LEAST_LIMIT = 2; // queries; the design's floor of the soft limit
     static final double WAIT_SHARE = 0.25; // of the SLO time: queueing at a node before others are asked
-    static final int KNOWN_KEYS = 4096; // keys; whose last node is remembered: more than pass in a few seconds
+    static final int KNOWN_KEYS = 4096; // keys; whose last node is remembered: some seconds' worth
+    static final double FETCH_TAIL = 2; // times the mean time of a miss: what an unknown key may well take
     static final double ORIGIN_SHARE = 0.4; // of the shortest SLO time: queueing at the origin, not here
     static final double PRIOR = 2; // queries; a node counts as having completed so many at the usual pace
     static final long MEMORY_NS = 4_000_000_000L; // ns; pace and health: some tens of queries a node
@@ -93,7 +94,7 @@
             Node n = nodes.get(e.id());
             if (n == null || n.entry.startedNs() != e.startedNs()) {
                 Node fresh = new Node(e, MEMORY_NS, Math.max(given.fallNs(), SWEEP_NS), PAUSE_NS);
-                // many proxies began with a cold node at the same moment and pushed it over (release incident)
+                // many proxies began with a cold node at one moment and pushed it over (release incident)
                 fresh.load.add(now, 2 * random.nextDouble(), 0);
                 nodes.put(e.id(), fresh);
             } else {
@@ -343,8 +344,9 @@
             // overloaded days: reads filled the queues up to their own SLO time, past that of worthier tracks
             double room = q.track.importance() < mostImportance ? SHED_SHARE * shortestSloNs : Long.MAX_VALUE;
             // slow origin: reads that would miss held places that hits could have had (origin incident)
-            double fetch = known.get(q.key) == n ? 0 : fetchTimes.ratio(now, PRIOR, 0);
-            return q.track.lateShare() == 0 && expected(n, 0) + fetch > Math.min(room, q.sloAt - now);
+            double fetch = known.get(q.key) == n || q.write ? 0 : FETCH_TAIL * fetchTimes.ratio(now, PRIOR, 0);
+            double queue = expected(n, 0);
+            return q.track.lateShare() == 0 && (queue > room || queue + fetch > q.sloAt - now);
         }
 
         private void heard(Qry q, Node n) {
@@ -557,12 +559,12 @@
         boolean answered = outcome.answered();
         if (answered) {
             n.lastAnswerAt = now;
-            // only completed work is carried: counting the rest made cold nodes of a lost data centre fall over
+            // only completed work is carried: else cold nodes of a lost data centre fell over (first score)
             n.load.add(now, 0, outcome == Outcome.COMPLETED ? 1 : 0);
         }
         boolean fetched = given.originKind() == null && (note == CacheNote.MISS || e.qry.write);
         boolean paced = outcome == Outcome.COMPLETED && !fetched;
-        if (given.originKind() == null && !e.qry.write && (outcome == Outcome.COMPLETED || outcome == Outcome.TIMED_OUT)) {
+        if (!e.qry.write && (outcome == Outcome.COMPLETED || outcome == Outcome.TIMED_OUT)) {
             fetchTimes.add(now, paced ? 0 : took, paced ? 0 : 1);
             known.put(e.qry.key, outcome == Outcome.COMPLETED ? n : null);
         }
