--- a/src/main/java/spurroad/Balance.java
+++ b/src/main/java/spurroad/Balance.java
@@ -37,6 +37,7 @@
     static final double FURTHER_MOST = 20; // further executions saved up: a node's worth of losses at once
     static final double BEYOND_SHARE = 0.5; // of the soft limit, for queries beyond a customer's share
     static final double SHED_SHARE = 0.4; // of the shortest SLO time: queues that lesser tracks may find
+    static final double SHED_MISSES = 0.25; // the same for keys not known at the node: hits cost less
     static final double COME_BACK = 0.5; // of the SLO time until a rejected client may try: queues have moved
     static final long FOLLOW_NS = 500_000_000L; // ns; first pause before following the list again
     static final long LONGEST_FOLLOW_NS = 8_000_000_000L; // ns; the list is one service for all proxies
@@ -342,10 +343,11 @@
 
         private boolean late(Node n, Qry q) {
             // overloaded days: reads filled the queues up to their own SLO time, past that of worthier tracks
-            double room = q.track.importance() < mostImportance ? SHED_SHARE * shortestSloNs : Long.MAX_VALUE;
+            boolean hit = known.get(q.key) == n || q.write;
+            double room = q.track.importance() == mostImportance ? Long.MAX_VALUE
+                : shortestSloNs * (hit ? SHED_SHARE : SHED_MISSES);
             // slow origin: reads that would miss held places that hits could have had (origin incident)
-            double fetch = known.get(q.key) == n || q.write ? 0 : FETCH_TAIL * fetchTimes.ratio(now, PRIOR, 0);
-            double queue = expected(n, 0);
+            double queue = expected(n, 0), fetch = hit ? 0 : FETCH_TAIL * fetchTimes.ratio(now, PRIOR, 0);
             return q.track.lateShare() == 0 && (queue > room || queue + fetch > q.sloAt - now);
         }
 
