--- a/src/main/java/spurroad/Balance.java
+++ b/src/main/java/spurroad/Balance.java
@@ -19,7 +19,7 @@
     static final double LEAST_LIMIT = 2; // queries; the design's floor of the soft limit
     static final double WAIT_SHARE = 0.25; // of the SLO time: queueing at a node before others are asked
     static final int KNOWN_KEYS = 4096; // keys; whose last node is remembered: some seconds' worth
-    static final double FETCH_TAIL = 2; // times the mean time of a miss: what an unknown key may well take
+    static final double FETCH_TAIL = 3; // times the mean time of a miss: what an unknown key may well take
     static final double ORIGIN_SHARE = 0.4; // of the shortest SLO time: queueing at the origin, not here
     static final double PRIOR = 2; // queries; a node counts as having completed so many at the usual pace
     static final long MEMORY_NS = 4_000_000_000L; // ns; pace and health: some tens of queries a node
@@ -37,7 +37,6 @@
     static final double FURTHER_MOST = 20; // further executions saved up: a node's worth of losses at once
     static final double BEYOND_SHARE = 0.5; // of the soft limit, for queries beyond a customer's share
     static final double SHED_SHARE = 0.4; // of the shortest SLO time: queues that lesser tracks may find
-    static final double SHED_MISSES = 0.25; // the same for keys not known at the node: hits cost less
     static final double COME_BACK = 0.5; // of the SLO time until a rejected client may try: queues have moved
     static final long FOLLOW_NS = 500_000_000L; // ns; first pause before following the list again
     static final long LONGEST_FOLLOW_NS = 8_000_000_000L; // ns; the list is one service for all proxies
@@ -112,10 +111,8 @@
     /** A call to the list failed or its subscription ended: ask again after a growing pause. */
     public void listFailed(long at, Decisions into) {
         begin(at, into);
-        if (given.mustAsk()) {
-            followAt = now + followPause / 2 + (long) (random.nextDouble() * followPause);
-            followPause = Math.min(LONGEST_FOLLOW_NS, 2 * followPause);
-        }
+        followAt = now + followPause / 2 + (long) (random.nextDouble() * followPause);
+        followPause = Math.min(LONGEST_FOLLOW_NS, 2 * followPause);
         finish();
     }
 
@@ -226,10 +223,6 @@
 
     /** Takes a query in and owes its final answer. */
     private final class Entry extends Stage {
-        void pass(Qry q) {
-            next.pass(q);
-        }
-
         @Override
         void back(Qry q, Exec e, Outcome outcome, CacheNote note) {
             boolean unseen = outcome.provesNotRun();
@@ -237,9 +230,6 @@
             // storms: queries turned away everywhere went on to every node (first incidents)
             boolean allFull = outcome == Outcome.TURNED_AWAY && q.avoid.size() >= CANDIDATES
                 && (given.originKind() == null || !fetch.originHasRoom());
-            if (q.out > 0) {
-                return;
-            }
             if (allFull || outcome == Outcome.NEVER_SENT || !inTime || !unseen && further < 1) {
                 giveUp(q);
             } else {
@@ -287,12 +277,13 @@
 
         @Override
         void back(Qry q, Exec e, Outcome outcome, CacheNote note) {
-            if (outcome != Outcome.MISS || origin == null || e.node == origin) {
+            boolean miss = outcome == Outcome.MISS && origin != null && e.node != origin;
+            q.missed |= miss;
+            if (miss) {
+                pass(q);
+            } else {
                 previous.back(q, e, outcome, note);
-                return;
             }
-            q.missed = true;
-            pass(q);
         }
 
         /** The fetch of a key is over: those who waited look at the cache again, or one of them leads. */
@@ -343,12 +334,12 @@
 
         private boolean late(Node n, Qry q) {
             // overloaded days: reads filled the queues up to their own SLO time, past that of worthier tracks
-            boolean hit = known.get(q.key) == n || q.write;
-            double room = q.track.importance() == mostImportance ? Long.MAX_VALUE
-                : shortestSloNs * (hit ? SHED_SHARE : SHED_MISSES);
+            double room = q.track.importance() < mostImportance ? SHED_SHARE * shortestSloNs : Long.MAX_VALUE;
             // slow origin: reads that would miss held places that hits could have had (origin incident)
-            double queue = expected(n, 0), fetch = hit ? 0 : FETCH_TAIL * fetchTimes.ratio(now, PRIOR, 0);
-            return q.track.lateShare() == 0 && (queue > room || queue + fetch > q.sloAt - now);
+            boolean hit = known.get(q.key) == n || q.write;
+            double fetch = hit ? 0 : FETCH_TAIL * fetchTimes.ratio(now, PRIOR, 0);
+            return q.track.lateShare() == 0
+                && (expected(n, 0) > room || expected(n, 0) + fetch > q.sloAt - now);
         }
 
         private void heard(Qry q, Node n) {
--- a/src/main/java/spurroad/Stage.java
+++ b/src/main/java/spurroad/Stage.java
@@ -7,7 +7,9 @@
 abstract class Stage {
     Stage next, previous;
 
-    abstract void pass(Qry q);
+    void pass(Qry q) {
+        next.pass(q);
+    }
 
     void back(Qry q, Exec e, Outcome outcome, CacheNote note) {
         previous.back(q, e, outcome, note);
--- a/src/test/java/spurroad/BalanceTest.java
+++ b/src/test/java/spurroad/BalanceTest.java
@@ -270,6 +270,40 @@
         }
     }
 
+    @Test
+    public void clientsLeaveWhileWritesWaitForTheOrigin() {
+        Rig rig = Rig.of(5, true);
+        int started = 0;
+        for (long q = 0; q < 12; q++) {
+            started += rig.ask(q, ONCE, q).starts.size();
+        }
+        assertTrue(started >= 2 && started < 12, "started " + started);
+        rig.decided.clear();
+        rig.balance.left(rig.now, new QueryId(77), rig.decided);
+        rig.balance.left(rig.now, new QueryId(11), rig.decided);
+        for (long q = 0; q < 12; q++) {
+            for (Decisions.Start s : List.copyOf(rig.end(q, 0, Outcome.COMPLETED).starts)) {
+                assertNotEquals(s.query().value(), 11L);
+                started++;
+            }
+        }
+        assertEquals(started, 11);
+    }
+
+    /** Origin incident: reads that miss held places that hits could have had. */
+    @Test
+    public void unknownKeysAreShedWhileTheOriginIsSlow() {
+        Rig rig = Rig.of(5, false);
+        for (long q = 1; q <= 4; q++) {
+            rig.ask(q, READ, q);
+            rig.now += 700 * MS;
+            rig.end(q, 0, Outcome.COMPLETED, CacheNote.MISS, true);
+        }
+        assertEquals(rig.ask(20, READ, 1).starts.size(), 1, "a key just answered there");
+        assertTrue(rig.ask(21, READ, 99).answers.get(0).rejected());
+        assertEquals(rig.ask(22, ONCE, 99).starts.size(), 1);
+    }
+
     @Test
     public void missesOfOneKeyShareAFetchAndThenLookAgain() {
         Rig rig = Rig.of(5, true);
