--- a/src/test/java/spurroad/BalanceTest.java
+++ b/src/test/java/spurroad/BalanceTest.java
@@ -300,7 +300,8 @@
             rig.end(q, 0, Outcome.COMPLETED, CacheNote.MISS, true);
         }
         assertEquals(rig.ask(20, READ, 1).starts.size(), 1, "a key just answered there");
-        assertTrue(rig.ask(21, READ, 99).answers.get(0).rejected());
+        assertTrue(rig.ask(21, READ, 99).starts.isEmpty());
+        assertTrue(rig.after(25).answers.get(0).rejected());
         assertEquals(rig.ask(22, ONCE, 99).starts.size(), 1);
     }
 
