--- a/src/main/java/spurroad/Balance.java
+++ b/src/main/java/spurroad/Balance.java
@@ -337,9 +337,8 @@
             double room = q.track.importance() < mostImportance ? SHED_SHARE * shortestSloNs : Long.MAX_VALUE;
             // slow origin: reads that would miss held places that hits could have had (origin incident)
             boolean hit = known.get(q.key) == n || q.write;
-            double fetch = hit ? 0 : FETCH_TAIL * fetchTimes.ratio(now, PRIOR, 0);
-            return q.track.lateShare() == 0
-                && (expected(n, 0) > room || expected(n, 0) + fetch > q.sloAt - now);
+            double fetch = hit || origin != null ? 0 : FETCH_TAIL * fetchTimes.ratio(now, PRIOR, 0);
+            return expected(n, 0) > room || expected(n, 0) + fetch > q.sloAt - now;
         }
 
         private void heard(Qry q, Node n) {
