--- a/src/main/java/spurroad/Balance.java
+++ b/src/main/java/spurroad/Balance.java
@@ -338,7 +338,9 @@
             // slow origin: reads that would miss held places that hits could have had (origin incident)
             boolean hit = known.get(q.key) == n || q.write;
             double fetch = hit || origin != null ? 0 : FETCH_TAIL * fetchTimes.ratio(now, PRIOR, 0);
-            return expected(n, 0) > room || expected(n, 0) + fetch > q.sloAt - now;
+            // a late answer that still earns a share is worth that much more patience
+            double left = (q.sloAt - now) / (1 - Math.min(0.5, q.track.lateShare()));
+            return expected(n, 0) > room || expected(n, 0) + fetch > left;
         }
 
         private void heard(Qry q, Node n) {
