--- a/src/main/java/spurroad/Balance.java
+++ b/src/main/java/spurroad/Balance.java
@@ -670,9 +670,11 @@
 
     /** The first distinct nodes clockwise from the key; where none is ready, those that may be sent to. */
     private List<Node> walk(Qry q, boolean onlyReady) {
+        // hot keys: three nodes were crowded by one key while all others had room (release incident)
+        long same = nodes.values().stream().flatMap(n -> n.out.stream()).filter(e -> e.qry.key.equals(q.key)).count();
         return ring.clockwise(q.point).distinct()
             .filter(n -> onlyReady ? ready(n, q) : hasRoomWhileCold(n) && maySend(q, n))
-            .limit(CANDIDATES).toList();
+            .limit(Math.max(CANDIDATES, 1 + same / (long) LEAST_LIMIT)).toList();
     }
 
     private void buildRing() {
--- a/src/test/java/spurroad/BalanceTest.java
+++ b/src/test/java/spurroad/BalanceTest.java
@@ -69,6 +69,7 @@
             long node = rig.target(q, MARKED, q);
             rig.now += ms * MS;
             Decisions d = rig.end(q, 0, Outcome.ERROR);
+            d = d.starts.isEmpty() && d.answers.isEmpty() ? rig.after(25) : d;
             for (Decisions.Start s : d.starts) {
                 long to = s.node().value();
                 assertTrue(sharing == 6 || (sharing == 3 ? to % 2 == node % 2 : to / 2 == node / 2));
