--- a/src/main/java/spurroad/Balance.java
+++ b/src/main/java/spurroad/Balance.java
@@ -17,7 +17,7 @@
     static final double PROBE_TRIPS = 1.5; // times the mean probe round trip: the wait on a slower network
     static final double PROBE_WAIT_SHARE = 0.05; // of the shortest SLO time: the longest such wait
     static final double LEAST_LIMIT = 2; // queries; the design's floor of the soft limit
-    static final double WAIT_SHARE = 0.25; // of the SLO time: queueing at a node before others are asked
+    static final double WAIT_SHARE = 0.1; // of the SLO time: queueing at a node before others are asked
     static final int KNOWN_KEYS = 4096; // keys; whose last node is remembered: some seconds' worth
     static final double FETCH_TAIL = 3; // times the mean time of a miss: what an unknown key may well take
     static final double ORIGIN_SHARE = 0.4; // of the shortest SLO time: queueing at the origin, not here
@@ -670,11 +670,9 @@
 
     /** The first distinct nodes clockwise from the key; where none is ready, those that may be sent to. */
     private List<Node> walk(Qry q, boolean onlyReady) {
-        // hot keys: three nodes were crowded by one key while all others had room (release incident)
-        long same = nodes.values().stream().flatMap(n -> n.out.stream()).filter(e -> e.qry.key.equals(q.key)).count();
         return ring.clockwise(q.point).distinct()
             .filter(n -> onlyReady ? ready(n, q) : hasRoomWhileCold(n) && maySend(q, n))
-            .limit(Math.max(CANDIDATES, 1 + same / (long) LEAST_LIMIT)).toList();
+            .limit(CANDIDATES).toList();
     }
 
     private void buildRing() {
