--- a/src/main/java/spurroad/Balance.java
+++ b/src/main/java/spurroad/Balance.java
@@ -55,6 +55,7 @@
     private final Map<NodeId, Node> nodes = new LinkedHashMap<>();
     private Ring ring = new Ring();
     private Node origin;
+    private List<Node> caches = List.of();
     private final Map<QueryId, Qry> queries = new HashMap<>();
     private final Agenda agenda = new Agenda();
     private final TreeSet<Qry> waiting = new TreeSet<>(Comparator.comparing((Qry q) -> q.beyondShare)
@@ -430,12 +431,10 @@
     // ---- rules by the kind of track: the only place that says what may be sent or answered
 
     private boolean maySend(Qry q, Node n) {
-        if (q.execs.size() >= given.mostExecutions() || q.out > 0 && !given.secondCopies()
-            || n.entry.phase() != Phase.READY) {
+        if (q.execs.size() >= given.mostExecutions() || q.out > 0 || n.entry.phase() != Phase.READY) {
             return false;
         }
-        Exec ran = q.mayHaveRun != null ? q.mayHaveRun
-            : q.execs.stream().filter(e -> e.out).findFirst().orElse(null);
+        Exec ran = q.mayHaveRun;
         return ran == null || switch (q.track.effect()) {
             case IDEMPOTENT -> true;
             case NON_IDEMPOTENT -> false;
@@ -515,7 +514,7 @@
     private double pace(Node n) {
         int s = fresh(n) ? 1 : 0;
         Fading seen = n.pace[s].at(now);
-        double usual = allPace[s].ratio(now, PRIOR, shortestSloNs * WAIT_SHARE / CANDIDATES);
+        double usual = allPace[s].ratio(now, PRIOR, shortestSloNs * LEAST_USUAL);
         return (seen.top + PRIOR * usual) / (seen.bottom + PRIOR);
     }
 
@@ -579,8 +578,7 @@
         }
         allPace[e.scope].add(now, paced ? took : 0, paced ? e.depth + 1 : 0);
         allTimes.add(now, outcome == Outcome.COMPLETED ? took : 0, outcome == Outcome.COMPLETED ? 1 : 0);
-        boolean late = paced && took > e.qry.track.sloNs();
-        boolean failed = late || outcome == Outcome.ERROR && !fetched || outcome == Outcome.DROPPED
+        boolean failed = paced && took > e.qry.track.sloNs() || outcome == Outcome.ERROR && !fetched || outcome == Outcome.DROPPED
             || outcome == Outcome.NO_CONNECTION || outcome == Outcome.TIMED_OUT && n.lastAnswerAt < e.sentAt;
         if (failed) {
             n.bad.add(now, 1, 1);
@@ -603,8 +601,8 @@
 
     /** The bad share of the better nodes: trouble that these have too is no node's own. */
     private double usualBadShare() {
-        return nodes.values().stream().filter(n -> n != origin && n.entry.phase() == Phase.READY)
-            .mapToDouble(n -> n.bad.ratio(now, 0, 0)).sorted().skip(nodes.size() / 4).findFirst().orElse(0);
+        return caches.stream().mapToDouble(n -> n.bad.ratio(now, 0, 0)).sorted().skip(caches.size() / 4)
+            .findFirst().orElse(0);
     }
 
     private void setAside(Node n) {
@@ -630,12 +628,7 @@
     /** Nodes that take queries and answer none are set aside, and what may run again goes elsewhere. */
     private void sweep() {
         List<Node> silent = new ArrayList<>();
-        int ready = 0;
-        for (Node n : nodes.values()) {
-            if (n == origin || n.entry.phase() != Phase.READY) {
-                continue;
-            }
-            ready++;
+        for (Node n : caches) {
             // heavy queries looked like silence: half of that only asks, and a failed probe confirms
             if (silent(n, n.probeFailedAt > n.lastAnswerAt ? SILENCE : 2 * SILENCE)) {
                 silent.add(n);
@@ -643,7 +636,7 @@
                 probe(n);
             }
         }
-        for (Node n : 2 * silent.size() > ready ? List.<Node>of() : silent) {
+        for (Node n : 2 * silent.size() > caches.size() ? List.<Node>of() : silent) {
             if (n.asideUntil <= now) {
                 setAside(n);
             }
@@ -667,8 +660,7 @@
         if (n.entry.startedNs() == 0 || age >= given.coldNs()) {
             return true;
         }
-        List<Node> warm = nodes.values().stream().filter(o -> o != origin && o.entry.phase() == Phase.READY
-            && now - o.entry.startedNs() >= given.coldNs()).toList();
+        List<Node> warm = caches.stream().filter(o -> now - o.entry.startedNs() >= given.coldNs()).toList();
         double carried = warm.stream().mapToDouble(o -> o.load.at(now).bottom).sum();
         double weight = warm.stream().mapToDouble(o -> o.entry.weight()).sum();
         double cold = (1 - given.startCapacity()) * (1 - (double) Math.max(0, age) / given.coldNs());
@@ -687,7 +679,7 @@
         List<Node> ready = nodes.values().stream().filter(n -> n.entry.phase() == Phase.READY).toList();
         origin = ready.stream().filter(n -> n.entry.kind().equals(given.originKind()))
             .findFirst().orElse(null);
-        List<Node> caches = ready.stream().filter(n -> n != origin).toList();
+        caches = ready.stream().filter(n -> n != origin).toList();
         double mean = caches.stream().mapToDouble(n -> n.entry.weight()).average().orElse(1);
         ring = new Ring();
         for (Node n : caches) {
--- a/src/main/java/spurroad/model/Deployment.java
+++ b/src/main/java/spurroad/model/Deployment.java
@@ -12,5 +12,5 @@
  * @param fallNs       how long a cold node bears too much before it falls over
  */
 public record Deployment(List<Track> tracks, List<Double> customerPace, KindId originKind, boolean mustAsk,
-                         boolean probes, boolean cancels, boolean secondCopies, long maxComeBackNs,
+                         boolean probes, boolean cancels, long maxComeBackNs,
                          int mostExecutions, double startCapacity, long coldNs, long fallNs, long tickNs) { }
--- a/src/main/java/spurroad/wirehost/StartLines.java
+++ b/src/main/java/spurroad/wirehost/StartLines.java
@@ -46,7 +46,7 @@
         return new Deployment(List.copyOf(tracks), List.copyOf(paces),
             aside && originKind >= 0 ? new KindId(originKind) : null,
             values.getOrDefault("discovery", "pushed").equals("on_request"),
-            flag("allowed.probes"), flag("allowed.cancel"), flag("allowed.secondCopies"),
+            flag("allowed.probes"), flag("allowed.cancel"),
             flag("allowed.retryAfter") ? time("allowed.maxRetryAfterUs", 0) : 0,
             Math.max(1, (int) number("allowed.mostExecutions", 1)),
             number("obligations.startCapacity", 1), time("obligations.coldUs", 0),
