--- a/src/main/java/spurroad/Balance.java
+++ b/src/main/java/spurroad/Balance.java
@@ -38,7 +38,7 @@
     static final double FURTHER_MOST = 20; // further executions saved up: a node's worth of losses at once
     static final double BEYOND_SHARE = 0.5; // of the soft limit, for queries beyond a customer's share
     static final double SHED_SHARE = 0.4; // of the shortest SLO time: queues that lesser tracks may find
-    static final double LATE_SHARE = 0.85; // of the SLO time left: beyond it a mean is late too often
+    static final double LATE_SHARE = 0.7; // of the SLO time left: beyond it a mean is late too often
     static final double COME_BACK = 0.5; // of the SLO time until a rejected client may try: queues have moved
     static final long FOLLOW_NS = 500_000_000L; // ns; first pause before following the list again
     static final long LONGEST_FOLLOW_NS = 8_000_000_000L; // ns; the list is one service for all proxies
