--- a/src/main/java/spurroad/Balance.java
+++ b/src/main/java/spurroad/Balance.java
@@ -17,7 +17,7 @@
     static final double PROBE_TRIPS = 1.5; // times the mean probe round trip: the wait on a slower network
     static final double PROBE_WAIT_SHARE = 0.05; // of the shortest SLO time: the longest such wait
     static final double LEAST_LIMIT = 2; // queries; the design's floor of the soft limit
-    static final double WAIT_SHARE = 0.15; // of the SLO time: queueing at a node before others are asked
+    static final double WAIT_SHARE = 0.1; // of the SLO time: queueing at a node before others are asked
     static final int KNOWN_KEYS = 4096; // keys; whose last node is remembered: some seconds' worth
     static final double FETCH_TAIL = 3; // times the mean time of a miss: what an unknown key may well take
     static final double MOVE_SHARE = 0.5; // of a fetch: a moved query misses about as often as not
