--- a/src/main/java/spurroad/Balance.java
+++ b/src/main/java/spurroad/Balance.java
@@ -66,10 +66,9 @@
     private final Known known = new Known(KNOWN_KEYS);
     private final List<Qry> probingQueries = new ArrayList<>();
     private double further = FURTHER_MOST;
-    private long followPause = FOLLOW_NS, followAt = Long.MAX_VALUE, sweepAt = Long.MAX_VALUE;
+    private long order, now, followPause = FOLLOW_NS, followAt = Long.MAX_VALUE, sweepAt = Long.MAX_VALUE;
     private boolean following;
     private int out;
-    private long order, now;
     private Decisions decisions;
 
     public Balance(Deployment start, long seed) {
@@ -341,7 +340,8 @@
             // slow origin: reads that would miss held places that hits could have had (origin incident)
             boolean hit = known.get(q.key) == n || q.write;
             double fetch = hit || origin != null ? 0 : FETCH_TAIL * fetchTimes.ratio(now, PRIOR, 0);
-            return expected(n, 0) > room || expected(n, 0) + fetch > LATE_SHARE * (q.sloAt - now);
+            double queue = expected(n, 0);
+            return queue > room || queue + fetch > LATE_SHARE * (q.sloAt - now);
         }
 
         private void heard(Qry q, Node n) {
@@ -438,8 +438,7 @@
         return ran == null || switch (q.track.effect()) {
             case IDEMPOTENT -> true;
             case NON_IDEMPOTENT -> false;
-            case DEDUPLICATED -> now + given.tickNs() < ran.sentAt + q.track.dedupWindowNs()
-                && switch (q.track.dedupScope()) {
+            case DEDUPLICATED -> remembered(q) && switch (q.track.dedupScope()) {
                 case ALL -> true;
                 case ZONE -> ran.node.entry.zone().equals(n.entry.zone());
                 case CELL -> ran.node.entry.cell().equals(n.entry.cell());
@@ -450,7 +449,11 @@
     private boolean mayReject(Qry q) {
         return q.track.effect() == Effect.IDEMPOTENT || q.out == 0 && (q.mayHaveRun == null
             || q.track.effect() == Effect.DEDUPLICATED && q.track.dedupScope() == DedupScope.ALL
-            && now + given.tickNs() < q.mayHaveRun.sentAt + q.track.dedupWindowNs());
+            && remembered(q));
+    }
+
+    private boolean remembered(Qry q) {
+        return now + given.tickNs() < q.mayHaveRun.sentAt + q.track.dedupWindowNs();
     }
 
     private void giveUp(Qry q) {
@@ -513,9 +516,8 @@
     /** Time per query in the figure, as completed ones showed it; of the scope of the figure. */
     private double pace(Node n) {
         int s = fresh(n) ? 1 : 0;
-        Fading seen = n.pace[s].at(now);
         double usual = allPace[s].ratio(now, PRIOR, shortestSloNs * LEAST_USUAL / CANDIDATES);
-        return (seen.top + PRIOR * usual) / (seen.bottom + PRIOR);
+        return n.pace[s].ratio(now, PRIOR, usual);
     }
 
     /** The queueing that a candidate may show: a moved query may miss, so slow fetches make for patience. */
