--- a/src/main/java/spurroad/Balance.java
+++ b/src/main/java/spurroad/Balance.java
@@ -29,7 +29,6 @@
     static final double BAD_SHARE = 0.3; // of its ends, above twice that of the better nodes
     static final long PAUSE_NS = 500_000_000L; // ns; first pause of a node set aside: short beside a fault
     static final long LONGEST_PAUSE_NS = 4_000_000_000L; // ns; a node that is well again waits no longer
-    static final double COLD_ROOM = 0.2; // queries; a proxy's least share of a cold node: one in some windows
     static final int TRICKLE_END = 8; // queries; a trickle doubled beyond this is an ordinary flow
     static final double SILENCE = 6; // times the usual time, over all that is out: chance hardly makes it
     static final double LEAST_USUAL = 0.1; // of the shortest SLO time: the usual time is not taken shorter
@@ -95,10 +94,7 @@
         for (NodeEntry e : entries) {
             Node n = nodes.get(e.id());
             if (n == null || n.entry.startedNs() != e.startedNs()) {
-                Node fresh = new Node(e, MEMORY_NS, Math.max(given.fallNs(), SWEEP_NS), PAUSE_NS);
-                // many proxies began with a cold node at one moment and pushed it over (release incident)
-                fresh.load.add(now, 2 * random.nextDouble(), 0);
-                nodes.put(e.id(), fresh);
+                nodes.put(e.id(), new Node(e, MEMORY_NS, PAUSE_NS));
             } else {
                 n.entry = e;
             }
@@ -129,6 +125,7 @@
         q.order = order++;
         q.point = key.value() == 0 ? random.nextLong() : Ring.mix(key.value());
         q.write = write;
+        q.luck = random.nextDouble();
         q.endAt = now + budgetNs;
         q.sloAt = Math.min(q.endAt, now + q.track.sloNs() + (long) (q.track.sloStretch() * workNs));
         int c = customer.value();
@@ -400,7 +397,6 @@
             q.out++;
             out++;
             n.sentSince++;
-            n.load.add(now, 1, 0);
             n.trickleLeft -= n.trickle > 0 ? 1 : 0;
             long until = q.track.lateShare() > 0 || q.write ? q.endAt : q.sloAt;
             decisions.starts.add(new Decisions.Start(q.id, n.entry.id(), until - now));
@@ -561,8 +557,6 @@
         boolean answered = outcome.answered();
         if (answered) {
             n.lastAnswerAt = now;
-            // only completed work is carried: else cold nodes of a lost data centre fell over (first score)
-            n.load.add(now, 0, outcome == Outcome.COMPLETED ? 1 : 0);
         }
         boolean fetched = given.originKind() == null && (note == CacheNote.MISS || e.qry.write);
         boolean paced = outcome == Outcome.COMPLETED && !fetched;
@@ -654,27 +648,26 @@
         boolean idempotent = q.track.effect() == Effect.IDEMPOTENT;
         boolean trickling = n.trickle > 0 && (!idempotent || n.trickleLeft <= 0 || !n.proven);
         return n.entry.phase() == Phase.READY && now >= n.asideUntil && !trickling && !q.avoid.contains(n)
-            && (idempotent || !silent(n, SILENCE / 2)) && hasRoomWhileCold(n);
+            && (idempotent || !silent(n, SILENCE / 2)) && hasRoomWhileCold(n, q);
     }
 
-    /** A cold node takes its part of what warm ones carry from here, growing with its stated warm-up. */
-    private boolean hasRoomWhileCold(Node n) {
+    /**
+     * A cold node takes the share of its keys that its stated warm-up lets it carry, drawn by chance.
+     * Floors a proxy added up: hundreds of proxies pushed cold nodes over (lost data centre at full size).
+     */
+    private boolean hasRoomWhileCold(Node n, Qry q) {
         long age = now - n.entry.startedNs();
         if (n.entry.startedNs() == 0 || age >= given.coldNs()) {
             return true;
         }
-        List<Node> warm = caches.stream().filter(o -> now - o.entry.startedNs() >= given.coldNs()).toList();
-        double carried = warm.stream().mapToDouble(o -> o.load.at(now).bottom).sum();
-        double weight = warm.stream().mapToDouble(o -> o.entry.weight()).sum();
-        double cold = (1 - given.startCapacity()) * (1 - (double) Math.max(0, age) / given.coldNs());
-        double room = (1 - cold) * carried / Math.max(1e-9, weight) * n.entry.weight();
-        return n.load.at(now).top < Math.max(COLD_ROOM, room);
+        double warmth = (double) Math.max(0, age) / given.coldNs();
+        return q.luck < given.startCapacity() + (1 - given.startCapacity()) * warmth;
     }
 
     /** The first distinct nodes clockwise from the key; where none is ready, those that may be sent to. */
     private List<Node> walk(Qry q, boolean onlyReady) {
         return ring.clockwise(q.point).distinct()
-            .filter(n -> onlyReady ? ready(n, q) : hasRoomWhileCold(n) && maySend(q, n))
+            .filter(n -> onlyReady ? ready(n, q) : hasRoomWhileCold(n, q) && maySend(q, n))
             .limit(CANDIDATES).toList();
     }
 
--- a/src/main/java/spurroad/Qry.java
+++ b/src/main/java/spurroad/Qry.java
@@ -14,6 +14,7 @@
     Track track;
     CacheKey key;
     long order, point, sloAt, endAt;
+    double luck;
     boolean beyondShare, write, missed, served, done;
     final List<Exec> execs = new ArrayList<>(2);
     int out, holds;
--- a/src/main/java/spurroad/wirehost/StartLines.java
+++ b/src/main/java/spurroad/wirehost/StartLines.java
@@ -50,7 +50,7 @@
             flag("allowed.retryAfter") ? time("allowed.maxRetryAfterUs", 0) : 0,
             Math.max(1, (int) number("allowed.mostExecutions", 1)),
             number("obligations.startCapacity", 1), time("obligations.coldUs", 0),
-            time("obligations.fallUs", 0), time("tickUs", 0));
+            time("tickUs", 0));
     }
 
     private Track track(String at) {
--- a/src/test/java/spurroad/BalanceTest.java
+++ b/src/test/java/spurroad/BalanceTest.java
@@ -227,6 +227,29 @@
         assertTrue(cold > 0 && cold < sent / 8, cold + " of " + sent);
     }
 
+    /** Lost data centre at full size: proxies, and the share of a warm node that a cold one gets from all. */
+    @DataProvider
+    Object[][] coldShares() {
+        return new Object[][] {{1, 600}, {4, 150}, {100, 6}, {600, 1}};
+    }
+
+    @Test(dataProvider = "coldShares")
+    public void allProxiesTogetherSendAColdNodeItsShare(int proxies, int each) {
+        int cold = 0, warm = 0;
+        for (int p = 0; p < proxies; p++) {
+            Rig rig = new Rig(false, DedupScope.ALL, p);
+            rig.list(true, Rig.entries(8, false));
+            rig.list(false, List.of(Rig.entry(0, Phase.READY, rig.now)));
+            for (int i = 0; i < each; i++) {
+                long key = p * each + i, node = rig.target(key, READ, key);
+                cold += node == 0 ? 1 : 0;
+                warm += node == 1 ? 1 : 0;
+                rig.end(key, 0, Outcome.COMPLETED);
+            }
+        }
+        assertTrue(cold > 0 && cold < 0.6 * warm, cold + " against " + warm);
+    }
+
     /** Hangs: a node takes queries and answers none; what may run again moves, the rest stays. */
     @Test
     public void aSilentNodeIsSetAsideAndTricklesBack() {
--- a/src/test/java/spurroad/Rig.java
+++ b/src/test/java/spurroad/Rig.java
@@ -31,11 +31,15 @@
     long now = 100_000 * MS;
 
     Rig(boolean aside, DedupScope scope) {
+        this(aside, scope, 7);
+    }
+
+    Rig(boolean aside, DedupScope scope, long seed) {
         balance = new Balance(new Deployment(List.of(
             new Track(Effect.IDEMPOTENT, scope, 0, 1000 * MS, 0, 1, 0),
             new Track(Effect.DEDUPLICATED, scope, 800 * MS, 1000 * MS, 0, 5, 0),
             new Track(Effect.NON_IDEMPOTENT, scope, 0, 1000 * MS, 0, 5, 0)), List.of(5.0, 1000.0),
-            aside ? ORIGIN : null, true, true, true, 2000 * MS, 4, 0.3, 8000 * MS, 1000 * MS, 5 * MS), 7);
+            aside ? ORIGIN : null, true, true, true, 2000 * MS, 4, 0.3, 8000 * MS, 5 * MS), seed);
     }
 
     /** A rig that knows nodes 0 to count - 1 and, in aside mode, node 99 as the origin. */
