--- a/src/main/java/spurroad/Balance.java
+++ b/src/main/java/spurroad/Balance.java
@@ -661,7 +661,8 @@
             return true;
         }
         double warmth = (double) Math.max(0, age) / given.coldNs();
-        return q.luck < given.startCapacity() + (1 - given.startCapacity()) * warmth;
+        // storms: what full nodes turned away went on to the cold ones (overloaded day with a lost data centre)
+        return q.execs.isEmpty() && q.luck < given.startCapacity() + (1 - given.startCapacity()) * warmth;
     }
 
     /** The first distinct nodes clockwise from the key; where none is ready, those that may be sent to. */
--- a/src/test/java/spurroad/BalanceTest.java
+++ b/src/test/java/spurroad/BalanceTest.java
@@ -250,6 +250,18 @@
         assertTrue(cold > 0 && cold < 0.6 * warm, cold + " against " + warm);
     }
 
+    /** Overloaded day with a lost data centre: what full nodes turned away pushed cold ones over. */
+    @Test
+    public void whatOtherNodesTurnAwayStaysOffColdOnes() {
+        for (long q = 1; q <= 200; q++) {
+            Rig rig = new Rig(false, DedupScope.ALL, q);
+            rig.list(true, List.of(Rig.entry(0, Phase.READY, 0), Rig.entry(1, Phase.READY, rig.now)));
+            if (rig.target(q, READ, q) == 0) {
+                assertTrue(rig.end(q, 0, Outcome.TURNED_AWAY).starts.isEmpty());
+            }
+        }
+    }
+
     /** Hangs: a node takes queries and answers none; what may run again moves, the rest stays. */
     @Test
     public void aSilentNodeIsSetAsideAndTricklesBack() {
