--- a/src/main/java/spurroad/Balance.java
+++ b/src/main/java/spurroad/Balance.java
@@ -33,6 +33,7 @@
     static final double SILENCE = 6; // times the usual time, over all that is out: chance hardly makes it
     static final double LEAST_USUAL = 0.1; // of the shortest SLO time: the usual time is not taken shorter
     static final long SWEEP_NS = 50_000_000L; // ns; how often silence is looked for: short beside time-outs
+    static final long CONNECT_MEMORY_NS = 20_000_000_000L; // ns; failed connects and own rate: some tens of queries
     static final double FURTHER = 0.2; // further executions a first one allows: failures do not multiply
     static final double FURTHER_MOST = 20; // further executions saved up: a node's worth of losses at once
     static final double BEYOND_SHARE = 0.5; // of the soft limit, for queries beyond a customer's share
@@ -64,8 +65,10 @@
     private final Fading fetchTimes = new Fading(MEMORY_NS), hitTimes = new Fading(MEMORY_NS);
     private final Known known = new Known(KNOWN_KEYS);
     private final List<Qry> probingQueries = new ArrayList<>();
+    private final Fading arrivals = new Fading(CONNECT_MEMORY_NS), unconnected = new Fading(CONNECT_MEMORY_NS);
+    private final Map<Node, Long> idle = new LinkedHashMap<>(); // since when, the longest first
     private double further = FURTHER_MOST;
-    private long order, now, followPause = FOLLOW_NS, followAt = Long.MAX_VALUE, sweepAt = Long.MAX_VALUE;
+    private long order, now, lastArrival, followPause = FOLLOW_NS, followAt = Long.MAX_VALUE, sweepAt = Long.MAX_VALUE;
     private boolean following;
     private int out;
     private Decisions decisions;
@@ -135,6 +138,8 @@
             q.beyondShare = part < 1 && random.nextDouble() > part;
         }
         queries.put(id, q);
+        arrivals.add(now, 1, lastArrival == 0 ? 0 : now - lastArrival);
+        lastArrival = now;
         further = Math.min(FURTHER_MOST, further + FURTHER);
         first.pass(q);
         finish();
@@ -215,7 +220,7 @@
         }
         fetch.pump();
         sweepAt = sweepAt == Long.MAX_VALUE && out > 0 ? now + SWEEP_NS : sweepAt;
-        decisions.wakeNs = Math.min(agenda.next(), Math.min(followAt, sweepAt));
+        decisions.wakeNs = Math.min(Math.min(agenda.next(), closeIdle()), Math.min(followAt, sweepAt));
     }
 
     // ---- stages
@@ -394,6 +399,7 @@
             Exec e = new Exec(q, n, q.execs.size(), now, fresh(n) ? 1 : 0, figure(n));
             q.execs.add(e);
             n.out.add(e);
+            idle.remove(n);
             q.out++;
             out++;
             n.sentSince++;
@@ -412,6 +418,9 @@
                 q.mayHaveRun = e;
             }
             judge(e, outcome, note);
+            if (e.node.out.isEmpty()) {
+                idle.put(e.node, now);
+            }
             if (e.node == origin) {
                 fetch.over(q);
             }
@@ -568,6 +577,7 @@
             took = Math.max(took, e.qry.track.sloNs());
             paced = true;
         }
+        unconnected.add(now, outcome == Outcome.NO_CONNECTION ? 1 : 0, 0);
         n.pace[e.scope].add(now, paced ? took : 0, paced ? e.depth + 1 : 0);
         if (n == origin || outcome == Outcome.NEVER_SENT || e.stopped && outcome == Outcome.CANCELLED) {
             return;
@@ -642,6 +652,25 @@
         }
     }
 
+    /**
+     * Connections are kept while that costs less than opening anew, and shorter where connects fail: hundreds of
+     * proxies held all that the nodes accept, and half of the executions got none (busy days at full size).
+     */
+    private long closeIdle() {
+        double apart = arrivals.at(now).bottom / Math.max(1, arrivals.top);
+        double keep = Math.min(given.idleNs(), given.idleQueries() * nodes.size() * apart);
+        long kept = (long) (keep / (1 + unconnected.at(now).top));
+        for (Iterator<Map.Entry<Node, Long>> it = idle.entrySet().iterator(); it.hasNext();) {
+            Map.Entry<Node, Long> longest = it.next();
+            if (longest.getValue() + kept > now) {
+                return longest.getValue() + kept;
+            }
+            decisions.closes.add(longest.getKey().entry.id());
+            it.remove();
+        }
+        return Long.MAX_VALUE;
+    }
+
     // ---- candidates
 
     private boolean ready(Node n, Qry q) {
--- a/src/main/java/spurroad/model/Decisions.java
+++ b/src/main/java/spurroad/model/Decisions.java
@@ -18,6 +18,8 @@
     public final List<Stop> stops = new ArrayList<>();
     public final List<Answer> answers = new ArrayList<>();
     public final List<NodeId> probes = new ArrayList<>();
+    /** Nodes to which idle connections are to be closed. */
+    public final List<NodeId> closes = new ArrayList<>();
     /** Whether to subscribe to the list now. */
     public boolean follow;
     /** When the module wants to be called next; Long.MAX_VALUE for never. */
@@ -28,6 +30,7 @@
         stops.clear();
         answers.clear();
         probes.clear();
+        closes.clear();
         follow = false;
         wakeNs = Long.MAX_VALUE;
     }
--- a/src/main/java/spurroad/model/Deployment.java
+++ b/src/main/java/spurroad/model/Deployment.java
@@ -9,7 +9,10 @@
  * @param originKind   the kind of the origin's list entry, or null where nodes fetch for themselves
  * @param mustAsk      whether the list is heard only by a proxy that asks for it
  * @param maxComeBackNs how long a rejected client may be asked to stay away; zero where it is not told
+ * @param idleNs       how long nodes leave an idle connection open
+ * @param idleQueries  how many own queries a node apart a connection may idle before opening anew is cheaper
  */
 public record Deployment(List<Track> tracks, List<Double> customerPace, KindId originKind, boolean mustAsk,
                          boolean probes, boolean cancels, long maxComeBackNs,
-                         int mostExecutions, double startCapacity, long coldNs, long tickNs) { }
+                         int mostExecutions, double startCapacity, long coldNs, long tickNs,
+                         long idleNs, double idleQueries) { }
--- a/src/main/java/spurroad/wirehost/WireHost.java
+++ b/src/main/java/spurroad/wirehost/WireHost.java
@@ -32,7 +32,7 @@
     private static final int LAUNCH = 10, ENDPOINTS = 20, ASK = 30, SETTLED = 50, CLIENT_LEFT = 60,
         TIMEOUT_FIRED = 70, CHECKED = 80, POWER_OFF = 100;
     private static final int HAND_OFF = 10, OVERLOAD_REPLY = 20, SURRENDER = 30, ABANDON = 40, DEFER = 50,
-        ASK_LOAD = 60, FATAL = 100, OBSERVE = 110;
+        ASK_LOAD = 60, LET_GO = 70, FATAL = 100, OBSERVE = 110;
     private static final int HEADER_BYTES = 16, RECORD_BYTES = 5, ENTRY_BYTES = 23, NODE_BYTES = 6;
     private static final int MAX_FRAME_BYTES = 1 << 28, MAX_TEXT_BYTES = 2_000;
     private static final int SCOPE_DELTA = 0, SCOPE_FAILED = 3;
@@ -293,10 +293,8 @@
                 record(SURRENDER, 4 + 8, instance).putLong(answer.query().value());
             }
         }
-        for (NodeId probe : decisions.probes) {
-            record(ASK_LOAD, 4 + NODE_BYTES, instance);
-            putNode(probe);
-        }
+        nodes(ASK_LOAD, decisions.probes, instance);
+        nodes(LET_GO, decisions.closes, instance);
         if (decisions.follow) {
             record(OBSERVE, 4 + 1, instance).put((byte) 1);
         }
@@ -308,6 +306,13 @@
         }
     }
 
+    private void nodes(int code, List<NodeId> named, int instance) {
+        for (NodeId node : named) {
+            record(code, 4 + NODE_BYTES, instance);
+            putNode(node);
+        }
+    }
+
     private ByteBuffer record(int code, int size, int instance) {
         if (reply.remaining() < RECORD_BYTES + size) {
             ByteBuffer larger = ByteBuffer.allocate(2 * reply.capacity() + RECORD_BYTES + size);
