--- a/src/main/java/spurroad/Balance.java
+++ b/src/main/java/spurroad/Balance.java
@@ -24,7 +24,6 @@
     static final double ORIGIN_SHARE = 0.4; // of the shortest SLO time: queueing at the origin, not here
     static final double PRIOR = 2; // queries; a node counts as having completed so many at the usual pace
     static final long MEMORY_NS = 4_000_000_000L; // ns; pace and health: some tens of queries a node
-    static final long RATE_NS = 2_000_000_000L; // ns; a customer's rate: longer than chance, short of a burst
     static final double BAD_ENDS = 1.5; // bad ends that set a node aside: not one mishap
     static final double BAD_SHARE = 0.3; // of its ends, above twice that of the better nodes
     static final long PAUSE_NS = 500_000_000L; // ns; first pause of a node set aside: short beside a fault
@@ -33,10 +32,11 @@
     static final double SILENCE = 6; // times the usual time, over all that is out: chance hardly makes it
     static final double LEAST_USUAL = 0.1; // of the shortest SLO time: the usual time is not taken shorter
     static final long SWEEP_NS = 50_000_000L; // ns; how often silence is looked for: short beside time-outs
-    static final long CONNECT_MEMORY_NS = 20_000_000_000L; // ns; failed connects and own rate: some tens of queries
+    static final long LONG_MEMORY_NS = 20_000_000_000L; // ns; own rates and failed connects: longer than chance
     static final double FURTHER = 0.2; // further executions a first one allows: failures do not multiply
-    static final double FURTHER_MOST = 20; // further executions saved up: a node's worth of losses at once
-    static final double BEYOND_SHARE = 0.5; // of the soft limit, for queries beyond a customer's share
+    static final double FURTHER_MOST = 5; // further executions saved up: a few, as hundreds of proxies save alike
+    static final double PRESSED_SHARE = 0.5; // of the SLO time: a longer answer tells of queues
+    static final double PRESSED_MOST = 0.1; // of the executions: at so many pressed ones all beyond a share is shed
     static final double SHED_SHARE = 0.4; // of the shortest SLO time: queues that lesser tracks may find
     static final double LATE_SHARE = 0.7; // of the SLO time left: beyond it a mean is late too often
     static final double COME_BACK = 0.5; // of the SLO time until a rejected client may try: queues have moved
@@ -61,11 +61,12 @@
     private final TreeSet<Qry> waiting = new TreeSet<>(Comparator.comparing((Qry q) -> q.beyondShare)
         .thenComparing(q -> -q.track.importance()).thenComparing(q -> !q.write).thenComparing(q -> q.order));
     private final Fading[] allPace = {new Fading(MEMORY_NS), new Fading(MEMORY_NS)};
+    private final Fading pressed = new Fading(MEMORY_NS);
     private final Fading allTimes = new Fading(MEMORY_NS), probeTrips = new Fading(MEMORY_NS);
     private final Fading fetchTimes = new Fading(MEMORY_NS), hitTimes = new Fading(MEMORY_NS);
     private final Known known = new Known(KNOWN_KEYS);
     private final List<Qry> probingQueries = new ArrayList<>();
-    private final Fading arrivals = new Fading(CONNECT_MEMORY_NS), unconnected = new Fading(CONNECT_MEMORY_NS);
+    private final Fading arrivals = new Fading(LONG_MEMORY_NS), unconnected = new Fading(LONG_MEMORY_NS);
     private final Map<Node, Long> idle = new LinkedHashMap<>(); // since when, the longest first
     private double further = FURTHER_MOST;
     private long order, now, lastArrival, followPause = FOLLOW_NS, followAt = Long.MAX_VALUE, sweepAt = Long.MAX_VALUE;
@@ -78,7 +79,7 @@
         random = new Random(seed);
         shortestSloNs = start.tracks().stream().mapToLong(Track::sloNs).min().orElse(FRESH_NS);
         mostImportance = start.tracks().stream().mapToDouble(Track::importance).max().orElse(0);
-        customerSent = start.customerPace().stream().map(p -> new Fading(RATE_NS)).toArray(Fading[]::new);
+        customerSent = start.customerPace().stream().map(p -> new Fading(LONG_MEMORY_NS)).toArray(Fading[]::new);
         Stage[] chain = {first, fetch, choice, sending};
         for (int i = 0; i + 1 < chain.length; i++) {
             chain[i].next = chain[i + 1];
@@ -131,15 +132,16 @@
         q.luck = random.nextDouble();
         q.endAt = now + budgetNs;
         q.sloAt = Math.min(q.endAt, now + q.track.sloNs() + (long) (q.track.sloStretch() * workNs));
+        arrivals.add(now, 1, lastArrival == 0 ? 0 : now - lastArrival);
+        lastArrival = now;
         int c = customer.value();
         if (c >= 0 && c < customerSent.length) {
             customerSent[c].add(now, 1, 0);
-            double part = given.customerPace().get(c) * RATE_NS / (customerSent[c].top * 1e9);
-            q.beyondShare = part < 1 && random.nextDouble() > part;
+            // a handful of queries is mostly chance: one deviation of it is allowed (proxies with few queries)
+            double allowed = given.customerPace().get(c) * arrivals.bottom / 1e9;
+            q.beyondShare = random.nextDouble() * customerSent[c].top > allowed + Math.sqrt(allowed) + 1;
         }
         queries.put(id, q);
-        arrivals.add(now, 1, lastArrival == 0 ? 0 : now - lastArrival);
-        lastArrival = now;
         further = Math.min(FURTHER_MOST, further + FURTHER);
         first.pass(q);
         finish();
@@ -227,17 +229,26 @@
 
     /** Takes a query in and owes its final answer. */
     private final class Entry extends Stage {
+        void pass(Qry q) {
+            // full nodes and late answers everywhere: what is worth least makes room (busy days at full size)
+            if (q.beyondShare && random.nextDouble() * PRESSED_MOST < pressed.ratio(now, PRIOR, 0)) {
+                giveUp(q);
+            } else {
+                next.pass(q);
+            }
+        }
+
         @Override
         void back(Qry q, Exec e, Outcome outcome, CacheNote note) {
             boolean unseen = outcome.provesNotRun();
             boolean inTime = now + given.tickNs() < (q.track.lateShare() > 0 ? q.endAt : q.sloAt);
-            // storms: queries turned away everywhere went on to every node (first incidents)
-            boolean allFull = outcome == Outcome.TURNED_AWAY && q.avoid.size() >= CANDIDATES
-                && (given.originKind() == null || !fetch.originHasRoom());
-            if (allFull || outcome == Outcome.NEVER_SENT || !inTime || !unseen && further < 1) {
+            // storms: queries turned away everywhere went on to every node (first incidents), and at hundreds of
+            // proxies the origin seemed to have room for them all: what goes on past the candidates is rationed
+            boolean free = unseen && q.avoid.size() < CANDIDATES;
+            if (outcome == Outcome.NEVER_SENT || !inTime || !free && further < 1) {
                 giveUp(q);
             } else {
-                further -= unseen ? 0 : 1;
+                further -= free ? 0 : 1;
                 pass(q);
             }
         }
@@ -257,8 +268,7 @@
             if (leader != null && leader != q) {
                 followers.computeIfAbsent(leader, k -> new ArrayList<>()).add(q);
                 hold(q, Hold.FETCH, q.sloAt);
-            } else if (origin == null || expected(origin, waiting.headSet(q).size()) > q.sloAt - now
-                || q.beyondShare && !originHasRoom()) {
+            } else if (origin == null || expected(origin, waiting.headSet(q).size()) > q.sloAt - now) {
                 giveUp(q);
             } else {
                 waiting.add(q);
@@ -378,8 +388,7 @@
         }
 
         private void to(Qry q, Node n) {
-            boolean crowded = figure(n) >= BEYOND_SHARE * limit(n, softWait(q));
-            if (q.beyondShare && crowded || late(n, q) && q.execs.isEmpty()) {
+            if (late(n, q) && q.execs.isEmpty()) {
                 giveUp(q);
             } else {
                 q.target = n;
@@ -577,6 +586,8 @@
             took = Math.max(took, e.qry.track.sloNs());
             paced = true;
         }
+        boolean full = outcome == Outcome.TURNED_AWAY || outcome == Outcome.TIMED_OUT;
+        pressed.add(now, full || took > PRESSED_SHARE * e.qry.track.sloNs() ? 1 : 0, 1);
         unconnected.add(now, outcome == Outcome.NO_CONNECTION ? 1 : 0, 0);
         n.pace[e.scope].add(now, paced ? took : 0, paced ? e.depth + 1 : 0);
         if (n == origin || outcome == Outcome.NEVER_SENT || e.stopped && outcome == Outcome.CANCELLED) {
