--- a/src/main/java/spurroad/Balance.java
+++ b/src/main/java/spurroad/Balance.java
@@ -132,7 +132,7 @@
         q.luck = random.nextDouble();
         q.endAt = now + budgetNs;
         q.sloAt = Math.min(q.endAt, now + q.track.sloNs() + (long) (q.track.sloStretch() * workNs));
-        arrivals.add(now, 1, lastArrival == 0 ? 0 : now - lastArrival);
+        arrivals.add(now, 1, now - lastArrival);
         lastArrival = now;
         int c = customer.value();
         if (c >= 0 && c < customerSent.length) {
@@ -203,6 +203,7 @@
 
     private void begin(long at, Decisions into) {
         now = at;
+        lastArrival = lastArrival == 0 ? at : lastArrival;
         decisions = into;
     }
 
