--- a/src/main/java/spurroad/Balance.java
+++ b/src/main/java/spurroad/Balance.java
@@ -587,13 +587,13 @@
             took = Math.max(took, e.qry.track.sloNs());
             paced = true;
         }
-        boolean full = outcome == Outcome.TURNED_AWAY || outcome == Outcome.TIMED_OUT;
-        pressed.add(now, full || took > PRESSED_SHARE * e.qry.track.sloNs() ? 1 : 0, 1);
         unconnected.add(now, outcome == Outcome.NO_CONNECTION ? 1 : 0, 0);
         n.pace[e.scope].add(now, paced ? took : 0, paced ? e.depth + 1 : 0);
         if (n == origin || outcome == Outcome.NEVER_SENT || e.stopped && outcome == Outcome.CANCELLED) {
             return;
         }
+        boolean full = outcome == Outcome.TURNED_AWAY || outcome == Outcome.TIMED_OUT;
+        pressed.add(now, full || took > PRESSED_SHARE * e.qry.track.sloNs() ? 1 : 0, 1);
         allPace[e.scope].add(now, paced ? took : 0, paced ? e.depth + 1 : 0);
         allTimes.add(now, outcome == Outcome.COMPLETED ? took : 0, outcome == Outcome.COMPLETED ? 1 : 0);
         boolean failed = paced && took > e.qry.track.sloNs() || outcome == Outcome.ERROR && !fetched
