--- a/src/main/java/spurroad/Balance.java
+++ b/src/main/java/spurroad/Balance.java
@@ -35,7 +35,7 @@
     static final long LONG_MEMORY_NS = 20_000_000_000L; // ns; own rates and failed connects: longer than chance
     static final double FURTHER = 0.2; // further executions a first one allows: failures do not multiply
     static final double FURTHER_MOST = 5; // further executions saved up: a few, as hundreds of proxies save alike
-    static final double PRESSED_SHARE = 0.5; // of the SLO time: a longer answer tells of queues
+    static final double PRESSED_SHARE = 1; // of the SLO time: a longer answer tells of queues, not of a heavy query
     static final double PRESSED_MOST = 0.1; // of the executions: at so many pressed ones all beyond a share is shed
     static final double SHED_SHARE = 0.4; // of the shortest SLO time: queues that lesser tracks may find
     static final double LATE_SHARE = 0.7; // of the SLO time left: beyond it a mean is late too often
@@ -587,13 +587,13 @@
             took = Math.max(took, e.qry.track.sloNs());
             paced = true;
         }
+        boolean full = outcome == Outcome.TURNED_AWAY || outcome == Outcome.TIMED_OUT;
+        pressed.add(now, full || took > PRESSED_SHARE * e.qry.track.sloNs() ? 1 : 0, 1);
         unconnected.add(now, outcome == Outcome.NO_CONNECTION ? 1 : 0, 0);
         n.pace[e.scope].add(now, paced ? took : 0, paced ? e.depth + 1 : 0);
         if (n == origin || outcome == Outcome.NEVER_SENT || e.stopped && outcome == Outcome.CANCELLED) {
             return;
         }
-        boolean full = outcome == Outcome.TURNED_AWAY || outcome == Outcome.TIMED_OUT;
-        pressed.add(now, full || took > PRESSED_SHARE * e.qry.track.sloNs() ? 1 : 0, 1);
         allPace[e.scope].add(now, paced ? took : 0, paced ? e.depth + 1 : 0);
         allTimes.add(now, outcome == Outcome.COMPLETED ? took : 0, outcome == Outcome.COMPLETED ? 1 : 0);
         boolean failed = paced && took > e.qry.track.sloNs() || outcome == Outcome.ERROR && !fetched
