--- a/src/main/java/spurroad/Balance.java
+++ b/src/main/java/spurroad/Balance.java
@@ -36,7 +36,7 @@
     static final double FURTHER = 0.2; // further executions a first one allows: failures do not multiply
     static final double FURTHER_MOST = 5; // further executions saved up: a few, as hundreds of proxies save alike
     static final double PRESSED_SHARE = 1; // of the SLO time: a longer answer tells of queues, not of a heavy query
-    static final double PRESSED_MOST = 0.1; // of the executions: at so many pressed ones all beyond a share is shed
+    static final double PRESSED_MOST = 0.3; // of the executions: at so many pressed ones all beyond a share is shed
     static final double SHED_SHARE = 0.4; // of the shortest SLO time: queues that lesser tracks may find
     static final double LATE_SHARE = 0.7; // of the SLO time left: beyond it a mean is late too often
     static final double COME_BACK = 0.5; // of the SLO time until a rejected client may try: queues have moved
