--- a/src/main/java/spurroad/Balance.java
+++ b/src/main/java/spurroad/Balance.java
@@ -35,8 +35,9 @@
     static final long LONG_MEMORY_NS = 20_000_000_000L; // ns; own rates and failed connects: longer than chance
     static final double FURTHER = 0.2; // further executions a first one allows: failures do not multiply
     static final double FURTHER_MOST = 5; // further executions saved up: a few, as hundreds of proxies save alike
+    static final double WELL_OVER = 1.5; // times its share: less is the unevenness of proxies' parts
     static final double PRESSED_SHARE = 1; // of the SLO time: a longer answer tells of queues, not of a heavy query
-    static final double PRESSED_MOST = 0.3; // of the executions: at so many pressed ones all beyond a share is shed
+    static final double PRESSED_MOST = 0.1; // of the executions: at so many pressed ones all beyond a share is shed
     static final double SHED_SHARE = 0.4; // of the shortest SLO time: queues that lesser tracks may find
     static final double LATE_SHARE = 0.7; // of the SLO time left: beyond it a mean is late too often
     static final double COME_BACK = 0.5; // of the SLO time until a rejected client may try: queues have moved
@@ -137,9 +138,10 @@
         int c = customer.value();
         if (c >= 0 && c < customerSent.length) {
             customerSent[c].add(now, 1, 0);
-            // a handful of queries is mostly chance: one deviation of it is allowed (proxies with few queries)
-            double allowed = given.customerPace().get(c) * arrivals.bottom / 1e9;
-            q.beyondShare = random.nextDouble() * customerSent[c].top > allowed + Math.sqrt(allowed) + 1;
+            // a handful of queries is mostly chance, and proxies' parts are uneven: only well over it is beyond
+            double allowed = given.customerPace().get(c) * arrivals.bottom / 1e9, sent = customerSent[c].top;
+            q.beyondShare = sent > WELL_OVER * allowed + Math.sqrt(allowed) + 1
+                && random.nextDouble() * sent > allowed;
         }
         queries.put(id, q);
         further = Math.min(FURTHER_MOST, further + FURTHER);
