--- a/src/main/java/spurroad/Balance.java
+++ b/src/main/java/spurroad/Balance.java
@@ -35,8 +35,7 @@
     static final long LONG_MEMORY_NS = 20_000_000_000L; // ns; own rates and failed connects: longer than chance
     static final double FURTHER = 0.2; // further executions a first one allows: failures do not multiply
     static final double FURTHER_MOST = 5; // further executions saved up: a few, as hundreds of proxies save alike
-    static final double WELL_OVER = 1.5; // times its share: less is the unevenness of proxies' parts
-    static final double PRESSED_SHARE = 1; // of the SLO time: a longer answer tells of queues, not of a heavy query
+    static final double PRESSED_SHARE = 0.7; // of the SLO time: a longer answer tells of queues more than of a heavy query
     static final double PRESSED_MOST = 0.1; // of the executions: at so many pressed ones all beyond a share is shed
     static final double SHED_SHARE = 0.4; // of the shortest SLO time: queues that lesser tracks may find
     static final double LATE_SHARE = 0.7; // of the SLO time left: beyond it a mean is late too often
@@ -138,10 +137,9 @@
         int c = customer.value();
         if (c >= 0 && c < customerSent.length) {
             customerSent[c].add(now, 1, 0);
-            // a handful of queries is mostly chance, and proxies' parts are uneven: only well over it is beyond
-            double allowed = given.customerPace().get(c) * arrivals.bottom / 1e9, sent = customerSent[c].top;
-            q.beyondShare = sent > WELL_OVER * allowed + Math.sqrt(allowed) + 1
-                && random.nextDouble() * sent > allowed;
+            // a handful of queries is mostly chance: one deviation of it is allowed (proxies with few queries)
+            double allowed = given.customerPace().get(c) * arrivals.bottom / 1e9;
+            q.beyondShare = random.nextDouble() * customerSent[c].top > allowed + Math.sqrt(allowed) + 1;
         }
         queries.put(id, q);
         further = Math.min(FURTHER_MOST, further + FURTHER);
@@ -156,6 +154,10 @@
         Qry q = queries.get(id);
         if (q != null && execution < q.execs.size() && q.execs.get(execution).out) {
             q.served |= outcome == Outcome.COMPLETED;
+            if (q.served && !q.done) {
+                // a full node costs little where the next answers: queries tell of pressure, not executions
+                pressed.add(now, now - q.sloAt > (PRESSED_SHARE - 1) * q.track.sloNs() ? 1 : 0, 1);
+            }
             if (last) {
                 close(q);
             }
@@ -249,6 +251,7 @@
             // proxies the origin seemed to have room for them all: what goes on past the candidates is rationed
             boolean free = unseen && q.avoid.size() < CANDIDATES;
             if (outcome == Outcome.NEVER_SENT || !inTime || !free && further < 1) {
+                pressed.add(now, 1, 1);
                 giveUp(q);
             } else {
                 further -= free ? 0 : 1;
@@ -589,8 +592,6 @@
             took = Math.max(took, e.qry.track.sloNs());
             paced = true;
         }
-        boolean full = outcome == Outcome.TURNED_AWAY || outcome == Outcome.TIMED_OUT;
-        pressed.add(now, full || took > PRESSED_SHARE * e.qry.track.sloNs() ? 1 : 0, 1);
         unconnected.add(now, outcome == Outcome.NO_CONNECTION ? 1 : 0, 0);
         n.pace[e.scope].add(now, paced ? took : 0, paced ? e.depth + 1 : 0);
         if (n == origin || outcome == Outcome.NEVER_SENT || e.stopped && outcome == Outcome.CANCELLED) {
