--- a/src/main/java/spurroad/Balance.java
+++ b/src/main/java/spurroad/Balance.java
@@ -14,29 +14,26 @@
     static final int POINTS = 96; // ring points of a mean node: shares differ by a tenth, walks stay short
     static final long FRESH_NS = 900_000_000L; // ns; age of a figure: the design asks for under a second
     static final long PROBE_WAIT_NS = 20_000_000L; // ns; the design's start
-    static final double PROBE_TRIPS = 1.5; // times the mean probe round trip: the wait on a slower network
-    static final double PROBE_WAIT_SHARE = 0.05; // of the shortest SLO time: the longest such wait
     static final double LEAST_LIMIT = 2; // queries; the design's floor of the soft limit
     static final double WAIT_SHARE = 0.1; // of the SLO time: queueing at a node before others are asked
     static final int KNOWN_KEYS = 4096; // keys; whose last node is remembered: some seconds' worth
     static final double FETCH_TAIL = 3; // times the mean time of a miss: what an unknown key may well take
-    static final double MOVE_SHARE = 0.5; // of a fetch: a moved query misses about as often as not
     static final double ORIGIN_SHARE = 0.4; // of the shortest SLO time: queueing at the origin, not here
     static final double PRIOR = 2; // queries; a node counts as having completed so many at the usual pace
     static final long MEMORY_NS = 4_000_000_000L; // ns; pace and health: some tens of queries a node
     static final double BAD_ENDS = 1.5; // bad ends that set a node aside: not one mishap
-    static final double BAD_SHARE = 0.3; // of its ends, above twice that of the better nodes
+    static final double BAD_SHARE = 0.3; // of its ends, above that of all nodes
     static final long PAUSE_NS = 500_000_000L; // ns; first pause of a node set aside: short beside a fault
     static final long LONGEST_PAUSE_NS = 4_000_000_000L; // ns; a node that is well again waits no longer
     static final int TRICKLE_END = 8; // queries; a trickle doubled beyond this is an ordinary flow
     static final double SILENCE = 6; // times the usual time, over all that is out: chance hardly makes it
     static final double LEAST_USUAL = 0.1; // of the shortest SLO time: the usual time is not taken shorter
     static final long SWEEP_NS = 50_000_000L; // ns; how often silence is looked for: short beside time-outs
-    static final long LONG_MEMORY_NS = 20_000_000_000L; // ns; own rates and failed connects: longer than chance
+    static final long LONG_MEMORY_NS = 20_000_000_000L; // ns; own rates, failed connects: longer than chance
     static final double FURTHER = 0.2; // further executions a first one allows: failures do not multiply
-    static final double FURTHER_MOST = 5; // further executions saved up: a few, as hundreds of proxies save alike
-    static final double PRESSED_SHARE = 0.7; // of the SLO time: a longer answer tells of queues more than of a heavy query
-    static final double PRESSED_MOST = 0.1; // of the executions: at so many pressed ones all beyond a share is shed
+    static final double FURTHER_MOST = 5; // further executions saved up: hundreds of proxies save alike
+    static final double PRESSED_SHARE = 0.7; // of the SLO time: a longer answer tells of queues
+    static final double PRESSED_MOST = 0.1; // of the queries: so many pressed shed all beyond a share
     static final double SHED_SHARE = 0.4; // of the shortest SLO time: queues that lesser tracks may find
     static final double LATE_SHARE = 0.7; // of the SLO time left: beyond it a mean is late too often
     static final double COME_BACK = 0.5; // of the SLO time until a rejected client may try: queues have moved
@@ -53,7 +50,7 @@
     private final Choice choice = new Choice();
     private final Sending sending = new Sending();
     private final Map<NodeId, Node> nodes = new LinkedHashMap<>();
-    private Ring ring = new Ring();
+    private Ring ring;
     private Node origin;
     private List<Node> caches = List.of();
     private final Map<QueryId, Qry> queries = new HashMap<>();
@@ -62,16 +59,19 @@
         .thenComparing(q -> -q.track.importance()).thenComparing(q -> !q.write).thenComparing(q -> q.order));
     private final Fading[] allPace = {new Fading(MEMORY_NS), new Fading(MEMORY_NS)};
     private final Fading pressed = new Fading(MEMORY_NS);
-    private final Fading allTimes = new Fading(MEMORY_NS), probeTrips = new Fading(MEMORY_NS);
+    private final Fading allTimes = new Fading(MEMORY_NS);
     private final Fading fetchTimes = new Fading(MEMORY_NS), hitTimes = new Fading(MEMORY_NS);
+    private final Fading allBad = new Fading(MEMORY_NS);
+    private final Fading unknown = new Fading(MEMORY_NS);
     private final Known known = new Known(KNOWN_KEYS);
     private final List<Qry> probingQueries = new ArrayList<>();
     private final Fading arrivals = new Fading(LONG_MEMORY_NS), unconnected = new Fading(LONG_MEMORY_NS);
-    private final Map<Node, Long> idle = new LinkedHashMap<>(); // since when, the longest first
+    private final Set<Node> watched = new LinkedHashSet<>(); // with executions out, or owing a probe
+    private final Idle idle = new Idle();
     private double further = FURTHER_MOST;
-    private long order, now, lastArrival, followPause = FOLLOW_NS, followAt = Long.MAX_VALUE, sweepAt = Long.MAX_VALUE;
+    private long order, now, lastArrival, followPause = FOLLOW_NS;
+    private long followAt = Long.MAX_VALUE, sweepAt = Long.MAX_VALUE;
     private boolean following;
-    private int out;
     private Decisions decisions;
 
     public Balance(Deployment start, long seed) {
@@ -79,7 +79,8 @@
         random = new Random(seed);
         shortestSloNs = start.tracks().stream().mapToLong(Track::sloNs).min().orElse(FRESH_NS);
         mostImportance = start.tracks().stream().mapToDouble(Track::importance).max().orElse(0);
-        customerSent = start.customerPace().stream().map(p -> new Fading(LONG_MEMORY_NS)).toArray(Fading[]::new);
+        customerSent = new Fading[start.customerPace().size()];
+        Arrays.setAll(customerSent, c -> new Fading(LONG_MEMORY_NS));
         Stage[] chain = {first, fetch, choice, sending};
         for (int i = 0; i + 1 < chain.length; i++) {
             chain[i].next = chain[i + 1];
@@ -98,12 +99,16 @@
         for (NodeEntry e : entries) {
             Node n = nodes.get(e.id());
             if (n == null || n.entry.startedNs() != e.startedNs()) {
-                nodes.put(e.id(), new Node(e, MEMORY_NS, PAUSE_NS));
+                watched.remove(nodes.put(e.id(), new Node(e, MEMORY_NS, PAUSE_NS)));
             } else {
                 n.entry = e;
             }
         }
-        buildRing();
+        List<Node> ready = nodes.values().stream().filter(n -> n.entry.phase() == Phase.READY).toList();
+        origin = ready.stream().filter(n -> n.entry.kind().equals(given.originKind()))
+            .findFirst().orElse(null);
+        caches = ready.stream().filter(n -> n != origin).toList();
+        ring = null; // built when next walked: a proxy hears of more changes than it sees queries
         followPause = following ? FOLLOW_NS : followPause;
         into.follow = given.mustAsk() && !following;
         following = true;
@@ -122,22 +127,15 @@
     public void arrived(long at, QueryId id, TrackId track, CustomerId customer, CacheKey key, boolean write,
                         long workNs, long budgetNs, Decisions into) {
         begin(at, into);
-        Qry q = new Qry();
-        q.id = id;
-        q.track = given.tracks().get(Math.min(track.value(), given.tracks().size() - 1));
-        q.key = key;
-        q.order = order++;
-        q.point = key.value() == 0 ? random.nextLong() : Ring.mix(key.value());
-        q.write = write;
-        q.luck = random.nextDouble();
-        q.endAt = now + budgetNs;
-        q.sloAt = Math.min(q.endAt, now + q.track.sloNs() + (long) (q.track.sloStretch() * workNs));
+        Track kind = given.tracks().get(Math.min(track.value(), given.tracks().size() - 1));
+        long slo = kind.sloNs() + (long) (kind.sloStretch() * workNs);
+        Qry q = new Qry(id, kind, key, write, order++, random, now, slo, budgetNs);
         arrivals.add(now, 1, now - lastArrival);
         lastArrival = now;
         int c = customer.value();
         if (c >= 0 && c < customerSent.length) {
             customerSent[c].add(now, 1, 0);
-            // a handful of queries is mostly chance: one deviation of it is allowed (proxies with few queries)
+            // a handful of queries is mostly chance: one deviation is allowed (proxies with few queries)
             double allowed = given.customerPace().get(c) * arrivals.bottom / 1e9;
             q.beyondShare = random.nextDouble() * customerSent[c].top > allowed + Math.sqrt(allowed) + 1;
         }
@@ -176,7 +174,6 @@
             n.probing = false;
             boolean answered = outcome == Outcome.COMPLETED;
             if (answered) {
-                probeTrips.add(now, tookNs, 1);
                 learn(n, load);
                 n.proven = true;
             } else {
@@ -193,9 +190,7 @@
     /** The client left; no answer is owed. */
     public void left(long at, QueryId id, Decisions into) {
         begin(at, into);
-        if (queries.containsKey(id)) {
-            close(queries.get(id));
-        }
+        Optional.ofNullable(queries.get(id)).ifPresent(this::close);
         finish();
     }
 
@@ -226,7 +221,7 @@
             sweep();
         }
         fetch.pump();
-        sweepAt = sweepAt == Long.MAX_VALUE && out > 0 ? now + SWEEP_NS : sweepAt;
+        sweepAt = sweepAt == Long.MAX_VALUE && !watched.isEmpty() ? now + SWEEP_NS : sweepAt;
         decisions.wakeNs = Math.min(Math.min(agenda.next(), closeIdle()), Math.min(followAt, sweepAt));
     }
 
@@ -247,8 +242,7 @@
         void back(Qry q, Exec e, Outcome outcome, CacheNote note) {
             boolean unseen = outcome.provesNotRun();
             boolean inTime = now + given.tickNs() < (q.track.lateShare() > 0 ? q.endAt : q.sloAt);
-            // storms: queries turned away everywhere went on to every node (first incidents), and at hundreds of
-            // proxies the origin seemed to have room for them all: what goes on past the candidates is rationed
+            // storms: queries turned away went on to every node (first incidents; busy days at full size)
             boolean free = unseen && q.avoid.size() < CANDIDATES;
             if (outcome == Outcome.NEVER_SENT || !inTime || !free && further < 1) {
                 pressed.add(now, 1, 1);
@@ -343,21 +337,21 @@
             q.asked.addAll(c.subList(1, c.size()));
             q.asked.forEach(Balance.this::probe);
             probingQueries.add(q);
-            double trips = PROBE_TRIPS * probeTrips.ratio(now, 1, 0);
-            trips = Math.max(PROBE_WAIT_NS, Math.min(trips, PROBE_WAIT_SHARE * shortestSloNs));
-            hold(q, Hold.PROBES, now + (long) trips);
+            hold(q, Hold.PROBES, now + PROBE_WAIT_NS);
         }
 
         private boolean underLimit(Node n, Qry q) {
-            return figure(n) < limit(n, softWait(q)) && !late(n, q);
+            return figure(n) < limit(n, WAIT_SHARE * q.track.sloNs()) && !late(n, q);
         }
 
         private boolean late(Node n, Qry q) {
             // overloaded days: reads filled the queues up to their own SLO time, past that of worthier tracks
             double room = q.track.importance() < mostImportance ? SHED_SHARE * shortestSloNs : Long.MAX_VALUE;
             // slow origin: reads that would miss held places that hits could have had (origin incident)
+            // few queries, few known keys: unknown ones count as they miss (busy days at full size)
             boolean hit = known.get(q.key) == n || q.write;
-            double fetch = hit || origin != null ? 0 : FETCH_TAIL * fetchTimes.ratio(now, PRIOR, 0);
+            double fetch = hit || origin != null ? 0 : FETCH_TAIL * unknown.ratio(now, PRIOR, 0)
+                * fetchTimes.ratio(now, PRIOR, 0);
             double queue = expected(n, 0);
             return queue > room || queue + fetch > LATE_SHARE * (q.sloAt - now);
         }
@@ -414,9 +408,9 @@
             Exec e = new Exec(q, n, q.execs.size(), now, fresh(n) ? 1 : 0, figure(n));
             q.execs.add(e);
             n.out.add(e);
+            watched.add(n);
             idle.remove(n);
             q.out++;
-            out++;
             n.sentSince++;
             n.trickleLeft -= n.trickle > 0 ? 1 : 0;
             long until = q.track.lateShare() > 0 || q.write ? q.endAt : q.sloAt;
@@ -427,14 +421,13 @@
         void back(Qry q, Exec e, Outcome outcome, CacheNote note) {
             e.out = false;
             q.out--;
-            out--;
             e.node.out.remove(e);
             if (!outcome.provesNotRun() && q.mayHaveRun == null) {
                 q.mayHaveRun = e;
             }
             judge(e, outcome, note);
             if (e.node.out.isEmpty()) {
-                idle.put(e.node, now);
+                idle.add(e.node, now);
             }
             if (e.node == origin) {
                 fetch.over(q);
@@ -540,13 +533,6 @@
         return n.pace[s].ratio(now, PRIOR, usual);
     }
 
-    /** The queueing that a candidate may show: a moved query may miss, so slow fetches make for patience. */
-    private double softWait(Qry q) {
-        double fetch = origin != null ? expected(origin, 0)
-            : fetchTimes.ratio(now, PRIOR, 0) - hitTimes.ratio(now, PRIOR, 0);
-        return WAIT_SHARE * q.track.sloNs() + MOVE_SHARE * Math.max(0, fetch);
-    }
-
     private double limit(Node n, double waitNs) {
         // a node that falls silent slows down before any of its executions has ended
         double slower = unanswered(n) / (n.pace[fresh(n) ? 1 : 0].at(now).bottom + PRIOR);
@@ -586,6 +572,9 @@
         boolean paced = outcome == Outcome.COMPLETED && !fetched;
         if (!e.qry.write && (outcome == Outcome.COMPLETED || outcome == Outcome.TIMED_OUT)) {
             (paced ? hitTimes : fetchTimes).add(now, took, 1);
+            if (known.get(e.qry.key) != n) {
+                unknown.add(now, paced ? 0 : 1, 1);
+            }
             known.put(e.qry.key, outcome == Outcome.COMPLETED ? n : null);
         }
         if (n == origin && (outcome == Outcome.TIMED_OUT || outcome == Outcome.TURNED_AWAY)) {
@@ -602,9 +591,10 @@
         boolean failed = paced && took > e.qry.track.sloNs() || outcome == Outcome.ERROR && !fetched
             || outcome == Outcome.DROPPED || outcome == Outcome.NO_CONNECTION
             || outcome == Outcome.TIMED_OUT && n.lastAnswerAt < e.sentAt;
+        allBad.add(now, failed ? 1 : 0, 1);
         if (failed) {
             n.bad.add(now, 1, 1);
-            double most = BAD_SHARE + 2 * usualBadShare();
+            double most = BAD_SHARE + allBad.ratio(now, PRIOR, 0);
             if (n.trickle > 0 || n.bad.top >= BAD_ENDS && n.bad.ratio(now, 0, 0) > most) {
                 setAside(n);
             }
@@ -621,18 +611,12 @@
         }
     }
 
-    /** The bad share of the better nodes: trouble that these have too is no node's own. */
-    private double usualBadShare() {
-        return caches.stream().mapToDouble(n -> n.bad.ratio(now, 0, 0)).sorted().skip(caches.size() / 4)
-            .findFirst().orElse(0);
-    }
-
     private void setAside(Node n) {
         n.asideUntil = now + n.pause;
         n.pause = Math.min(LONGEST_PAUSE_NS, 2 * n.pause);
         n.proven = !given.probes();
-        n.trickle = 1;
-        n.trickleLeft = 1;
+        watched.add(n);
+        n.trickle = n.trickleLeft = 1;
         n.trickleGood = 0;
         n.bad = new Fading(MEMORY_NS);
     }
@@ -650,7 +634,9 @@
     /** Nodes that take queries and answer none are set aside, and what may run again goes elsewhere. */
     private void sweep() {
         List<Node> silent = new ArrayList<>();
-        for (Node n : caches) {
+        watched.removeIf(n -> n == origin
+            || n.out.isEmpty() && (n.trickle == 0 || n.proven || n.entry.phase() != Phase.READY));
+        for (Node n : watched) {
             // heavy queries looked like silence: half of that only asks, and a failed probe confirms
             if (silent(n, n.probeFailedAt > n.lastAnswerAt ? SILENCE : 2 * SILENCE)) {
                 silent.add(n);
@@ -668,22 +654,17 @@
     }
 
     /**
-     * Connections are kept while that costs less than opening anew, and shorter where connects fail: hundreds of
-     * proxies held all that the nodes accept, and half of the executions got none (busy days at full size).
+     * Connections are kept while that costs less than opening anew, and shorter where connects fail: proxies
+     * held all that the nodes accept, and half of the executions got none (busy days at full size).
      */
     private long closeIdle() {
         double apart = arrivals.at(now).bottom / Math.max(1, arrivals.top);
         double keep = Math.min(given.idleNs(), given.idleQueries() * nodes.size() * apart);
         long kept = (long) (keep / (1 + unconnected.at(now).top));
-        for (Iterator<Map.Entry<Node, Long>> it = idle.entrySet().iterator(); it.hasNext();) {
-            Map.Entry<Node, Long> longest = it.next();
-            if (longest.getValue() + kept > now) {
-                return longest.getValue() + kept;
-            }
-            decisions.closes.add(longest.getKey().entry.id());
-            it.remove();
+        for (Node n = idle.since(now - kept); n != null; n = idle.since(now - kept)) {
+            decisions.closes.add(n.entry.id());
         }
-        return Long.MAX_VALUE;
+        return idle.first() + kept;
     }
 
     // ---- candidates
@@ -705,22 +686,26 @@
             return true;
         }
         double warmth = (double) Math.max(0, age) / given.coldNs();
-        // storms: what full nodes turned away went on to the cold ones (overloaded day with a lost data centre)
+        // storms: what full nodes turned away went on to cold ones (overloaded day, lost data centre)
         return q.execs.isEmpty() && q.luck < given.startCapacity() + (1 - given.startCapacity()) * warmth;
     }
 
     /** The first distinct nodes clockwise from the key; where none is ready, those that may be sent to. */
     private List<Node> walk(Qry q, boolean onlyReady) {
-        return ring.clockwise(q.point).distinct()
-            .filter(n -> onlyReady ? ready(n, q) : hasRoomWhileCold(n, q) && maySend(q, n))
-            .limit(CANDIDATES).toList();
+        if (ring == null) {
+            buildRing();
+        }
+        List<Node> found = new ArrayList<>(CANDIDATES);
+        for (int from = ring.from(q.point), i = 0; i < ring.size() && found.size() < CANDIDATES; i++) {
+            Node n = ring.owner(from + i);
+            if (!found.contains(n) && (onlyReady ? ready(n, q) : hasRoomWhileCold(n, q) && maySend(q, n))) {
+                found.add(n);
+            }
+        }
+        return found;
     }
 
     private void buildRing() {
-        List<Node> ready = nodes.values().stream().filter(n -> n.entry.phase() == Phase.READY).toList();
-        origin = ready.stream().filter(n -> n.entry.kind().equals(given.originKind()))
-            .findFirst().orElse(null);
-        caches = ready.stream().filter(n -> n != origin).toList();
         double mean = caches.stream().mapToDouble(n -> n.entry.weight()).average().orElse(1);
         ring = new Ring();
         for (Node n : caches) {
--- a/src/main/java/spurroad/Qry.java
+++ b/src/main/java/spurroad/Qry.java
@@ -3,6 +3,7 @@
 import java.util.ArrayList;
 import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Random;
 import java.util.Set;
 import spurroad.model.CacheKey;
 import spurroad.model.QueryId;
@@ -10,12 +11,13 @@
 
 /** One query that a proxy has taken on. */
 final class Qry {
-    QueryId id;
-    Track track;
-    CacheKey key;
-    long order, point, sloAt, endAt;
-    double luck;
-    boolean beyondShare, write, missed, served, done;
+    final QueryId id;
+    final Track track;
+    final CacheKey key;
+    final boolean write;
+    final long order, point, sloAt, endAt;
+    final double luck;
+    boolean beyondShare, missed, served, done;
     final List<Exec> execs = new ArrayList<>(2);
     int out, holds;
     Exec mayHaveRun;
@@ -24,4 +26,17 @@
     final Set<Node> asked = new LinkedHashSet<>(4);
     final List<Node> avoid = new ArrayList<>(2);
     Node target;
+
+    Qry(QueryId id, Track track, CacheKey key, boolean write, long order, Random random, long now, long sloNs,
+        long budgetNs) {
+        this.id = id;
+        this.track = track;
+        this.key = key;
+        this.write = write;
+        this.order = order;
+        point = key.value() == 0 ? random.nextLong() : Ring.mix(key.value());
+        luck = random.nextDouble();
+        endAt = now + budgetNs;
+        sloAt = Math.min(endAt, now + sloNs);
+    }
 }
--- a/src/main/java/spurroad/Ring.java
+++ b/src/main/java/spurroad/Ring.java
@@ -1,35 +1,44 @@
 package spurroad;
 
 import java.util.ArrayList;
-import java.util.Collections;
-import java.util.Comparator;
+import java.util.Arrays;
 import java.util.List;
-import java.util.stream.IntStream;
-import java.util.stream.Stream;
 
 /** A consistent hash ring: each node owns some points, and a key's nodes lie clockwise from its hash. */
 final class Ring {
-    private record Point(long at, Node node) { }
+    private static final int INDEX_BITS = 16;
+    private static final long INDEX = (1L << INDEX_BITS) - 1;
+    private final List<Node> nodes = new ArrayList<>();
+    // a point's place on the ring, its lowest bits replaced by the index of the node that owns it
+    private long[] points = new long[0];
+    private int count;
 
-    private static final Comparator<Point> CLOCKWISE = Comparator.comparingLong(Point::at);
-    private final List<Point> points = new ArrayList<>();
-
-    void add(Node node, int count) {
+    void add(Node node, int share) {
         long id = mix(node.entry.id().value());
-        for (int i = 1; i <= count; i++) {
-            points.add(new Point(mix(id + i), node));
+        points = points.length < count + share ? Arrays.copyOf(points, 2 * count + share) : points;
+        for (int i = 1; i <= share; i++) {
+            points[count++] = mix(id + i) & ~INDEX | nodes.size() & INDEX;
         }
+        nodes.add(node);
     }
 
     void close() {
-        points.sort(CLOCKWISE.thenComparingLong(p -> p.node.entry.id().value()));
+        points = Arrays.copyOf(points, count);
+        Arrays.sort(points);
+    }
+
+    /** How many points there are, each by its place clockwise from a hash. */
+    int size() {
+        return count;
+    }
+
+    int from(long hash) {
+        int at = Arrays.binarySearch(points, hash & ~INDEX);
+        return at < 0 ? -at - 1 : at;
     }
 
-    /** The owners of the points from a hash on, once around; a node comes as often as it owns points. */
-    Stream<Node> clockwise(long hash) {
-        int at = Collections.binarySearch(points, new Point(hash, null), CLOCKWISE);
-        int from = at < 0 ? -at - 1 : at;
-        return IntStream.range(0, points.size()).mapToObj(i -> points.get((from + i) % points.size()).node);
+    Node owner(int place) {
+        return nodes.get((int) (points[place % count] & INDEX));
     }
 
     /** Spreads the bits of an id evenly (the finisher of SplitMix64). */
