--- a/src/main/java/spurroad/Balance.java
+++ b/src/main/java/spurroad/Balance.java
@@ -350,7 +350,7 @@
             // slow origin: reads that would miss held places that hits could have had (origin incident)
             // few queries, few known keys: unknown ones count as they miss (busy days at full size)
             boolean hit = known.get(q.key) == n || q.write;
-            double fetch = hit || origin != null ? 0 : FETCH_TAIL * unknown.ratio(now, PRIOR, 0)
+            double fetch = hit || origin != null ? 0 : FETCH_TAIL * Math.min(1, 2 * unknown.ratio(now, PRIOR, 0))
                 * fetchTimes.ratio(now, PRIOR, 0);
             double queue = expected(n, 0);
             return queue > room || queue + fetch > LATE_SHARE * (q.sloAt - now);
