--- a/src/main/java/spurroad/Balance.java
+++ b/src/main/java/spurroad/Balance.java
@@ -18,7 +18,6 @@
     static final double WAIT_SHARE = 0.1; // of the SLO time: queueing at a node before others are asked
     static final int KNOWN_KEYS = 4096; // keys; whose last node is remembered: some seconds' worth
     static final double FETCH_TAIL = 3; // times the mean time of a miss: what an unknown key may well take
-    static final double MISS_LIKELY = 0.5; // of the unknown keys asked for: more often late than not beyond it
     static final double ORIGIN_SHARE = 0.4; // of the shortest SLO time: queueing at the origin, not here
     static final double PRIOR = 2; // queries; a node counts as having completed so many at the usual pace
     static final long MEMORY_NS = 4_000_000_000L; // ns; pace and health: some tens of queries a node
@@ -63,7 +62,7 @@
     private final Fading allTimes = new Fading(MEMORY_NS);
     private final Fading fetchTimes = new Fading(MEMORY_NS), hitTimes = new Fading(MEMORY_NS);
     private final Fading allBad = new Fading(MEMORY_NS);
-    private final Fading unknown = new Fading(MEMORY_NS);
+    private final Fading unknown = new Fading(LONG_MEMORY_NS);
     private final Known known = new Known(KNOWN_KEYS);
     private final List<Qry> probingQueries = new ArrayList<>();
     private final Fading arrivals = new Fading(LONG_MEMORY_NS), unconnected = new Fading(LONG_MEMORY_NS);
@@ -349,9 +348,10 @@
             // overloaded days: reads filled the queues up to their own SLO time, past that of worthier tracks
             double room = q.track.importance() < mostImportance ? SHED_SHARE * shortestSloNs : Long.MAX_VALUE;
             // slow origin: reads that would miss held places that hits could have had (origin incident)
-            // few queries, few known keys: most unknown ones are hits (busy days at full size)
-            boolean hit = known.get(q.key) == n || q.write || unknown.ratio(now, PRIOR, 0) < MISS_LIKELY;
-            double fetch = hit || origin != null ? 0 : FETCH_TAIL * fetchTimes.ratio(now, PRIOR, 0);
+            // few queries, few known keys: unknown ones count as they miss (busy days at full size)
+            boolean hit = known.get(q.key) == n || q.write;
+            double fetch = hit || origin != null ? 0 : FETCH_TAIL * unknown.ratio(now, PRIOR, 1)
+                * fetchTimes.ratio(now, PRIOR, 0);
             double queue = expected(n, 0);
             return queue > room || queue + fetch > LATE_SHARE * (q.sloAt - now);
         }
