Tried: the soft limit's patience for slow fetches back, with the weighted unknown keys

Next suspect for size: time-outs of hanging nodes count as fetch times and so shed reads of unknown keys at every node.

--- a/src/main/java/spurroad/Balance.java
+++ b/src/main/java/spurroad/Balance.java
@@ -18,6 +18,7 @@
     static final double WAIT_SHARE = 0.1; // of the SLO time: queueing at a node before others are asked
     static final int KNOWN_KEYS = 4096; // keys; whose last node is remembered: some seconds' worth
     static final double FETCH_TAIL = 3; // times the mean time of a miss: what an unknown key may well take
+    static final double MOVE_SHARE = 0.5; // of a fetch: a moved query misses about as often as not
     static final double ORIGIN_SHARE = 0.4; // of the shortest SLO time: queueing at the origin, not here
     static final double PRIOR = 2; // queries; a node counts as having completed so many at the usual pace
     static final long MEMORY_NS = 4_000_000_000L; // ns; pace and health: some tens of queries a node
@@ -341,7 +342,7 @@
         }
 
         private boolean underLimit(Node n, Qry q) {
-            return figure(n) < limit(n, WAIT_SHARE * q.track.sloNs()) && !late(n, q);
+            return figure(n) < limit(n, softWait(q)) && !late(n, q);
         }
 
         private boolean late(Node n, Qry q) {
@@ -533,6 +534,13 @@
         return n.pace[s].ratio(now, PRIOR, usual);
     }
 
+    /** The queueing that a candidate may show: a moved query may miss, so slow fetches make for patience. */
+    private double softWait(Qry q) {
+        double fetch = origin != null ? expected(origin, 0)
+            : fetchTimes.ratio(now, PRIOR, 0) - hitTimes.ratio(now, PRIOR, 0);
+        return WAIT_SHARE * q.track.sloNs() + MOVE_SHARE * Math.max(0, fetch);
+    }
+
     private double limit(Node n, double waitNs) {
         // a node that falls silent slows down before any of its executions has ended
         double slower = unanswered(n) / (n.pace[fresh(n) ? 1 : 0].at(now).bottom + PRIOR);
