Time-outs of nodes silent since the send are no fetch times

At size a hanging node costs every proxy a time-out or two, which passed for slow fetches and shed reads of unknown keys at all nodes.

--- a/src/main/java/spurroad/Balance.java
+++ b/src/main/java/spurroad/Balance.java
@@ -63,7 +63,6 @@
     private final Fading allTimes = new Fading(MEMORY_NS);
     private final Fading fetchTimes = new Fading(MEMORY_NS), hitTimes = new Fading(MEMORY_NS);
     private final Fading allBad = new Fading(MEMORY_NS);
-    private final Fading unknown = new Fading(LONG_MEMORY_NS);
     private final Known known = new Known(KNOWN_KEYS);
     private final List<Qry> probingQueries = new ArrayList<>();
     private final Fading arrivals = new Fading(LONG_MEMORY_NS), unconnected = new Fading(LONG_MEMORY_NS);
@@ -349,10 +348,8 @@
             // overloaded days: reads filled the queues up to their own SLO time, past that of worthier tracks
             double room = q.track.importance() < mostImportance ? SHED_SHARE * shortestSloNs : Long.MAX_VALUE;
             // slow origin: reads that would miss held places that hits could have had (origin incident)
-            // few queries, few known keys: unknown ones count as they miss (busy days at full size)
             boolean hit = known.get(q.key) == n || q.write;
-            double fetch = hit || origin != null ? 0 : FETCH_TAIL * unknown.ratio(now, PRIOR, 1)
-                * fetchTimes.ratio(now, PRIOR, 0);
+            double fetch = hit || origin != null ? 0 : FETCH_TAIL * fetchTimes.ratio(now, PRIOR, 0);
             double queue = expected(n, 0);
             return queue > room || queue + fetch > LATE_SHARE * (q.sloAt - now);
         }
@@ -578,11 +575,10 @@
         }
         boolean fetched = given.originKind() == null && (note == CacheNote.MISS || e.qry.write);
         boolean paced = outcome == Outcome.COMPLETED && !fetched;
-        if (!e.qry.write && (outcome == Outcome.COMPLETED || outcome == Outcome.TIMED_OUT)) {
+        // hangs at full size: time-outs of silent nodes passed for slow fetches, and reads were shed for it
+        boolean heard = outcome == Outcome.TIMED_OUT && n.lastAnswerAt >= e.sentAt;
+        if (!e.qry.write && (outcome == Outcome.COMPLETED || heard)) {
             (paced ? hitTimes : fetchTimes).add(now, took, 1);
-            if (known.get(e.qry.key) != n) {
-                unknown.add(now, paced ? 0 : 1, 1);
-            }
             known.put(e.qry.key, outcome == Outcome.COMPLETED ? n : null);
         }
         if (n == origin && (outcome == Outcome.TIMED_OUT || outcome == Outcome.TURNED_AWAY)) {
@@ -598,7 +594,7 @@
         allTimes.add(now, outcome == Outcome.COMPLETED ? took : 0, outcome == Outcome.COMPLETED ? 1 : 0);
         boolean failed = paced && took > e.qry.track.sloNs() || outcome == Outcome.ERROR && !fetched
             || outcome == Outcome.DROPPED || outcome == Outcome.NO_CONNECTION
-            || outcome == Outcome.TIMED_OUT && n.lastAnswerAt < e.sentAt;
+            || outcome == Outcome.TIMED_OUT && !heard;
         allBad.add(now, failed ? 1 : 0, 1);
         if (failed) {
             n.bad.add(now, 1, 1);
--- a/src/test/java/spurroad/BalanceTest.java
+++ b/src/test/java/spurroad/BalanceTest.java
@@ -363,6 +363,16 @@
         assertEquals(rig.ask(22, ONCE, 99).starts.size(), 1);
     }
 
+    /** Hang at full size: time-outs of a silent node passed for slow fetches, and reads of new keys were shed. */
+    @Test
+    public void timeOutsOfASilentNodeAreNoFetchTimes() {
+        Rig rig = Rig.of(5, false);
+        rig.ask(1, READ, KEY);
+        rig.now += 1000 * MS;
+        rig.end(1, 0, Outcome.TIMED_OUT, CacheNote.NONE, false);
+        assertEquals(rig.ask(2, READ, 99).starts.size(), 1);
+    }
+
     @Test
     public void missesOfOneKeyShareAFetchAndThenLookAgain() {
         Rig rig = Rig.of(5, true);
