--- a/src/main/java/spurroad/Balance.java
+++ b/src/main/java/spurroad/Balance.java
@@ -342,7 +342,7 @@
 
         private boolean underLimit(Node n, Qry q) {
             // a node that turned queries away has been at its limits: nothing else tells where own figures are few
-            return q.luck >= n.full.ratio(now, PRIOR, 0) && figure(n) < limit(n, softWait(q)) && !late(n, q);
+            return q.luck >= 2 * n.full.ratio(now, PRIOR, 0) - 1 && figure(n) < limit(n, softWait(q)) && !late(n, q);
         }
 
         private boolean late(Node n, Qry q) {
