--- a/src/main/java/spurroad/Balance.java
+++ b/src/main/java/spurroad/Balance.java
@@ -99,7 +99,7 @@
         for (NodeEntry e : entries) {
             Node n = nodes.get(e.id());
             if (n == null || n.entry.startedNs() != e.startedNs()) {
-                watched.remove(nodes.put(e.id(), new Node(e, MEMORY_NS, LONG_MEMORY_NS, PAUSE_NS)));
+                watched.remove(nodes.put(e.id(), new Node(e, MEMORY_NS, PAUSE_NS)));
             } else {
                 n.entry = e;
             }
@@ -341,8 +341,7 @@
         }
 
         private boolean underLimit(Node n, Qry q) {
-            // a node that turned queries away has been at its limits: nothing else tells where own figures are few
-            return q.luck >= 2 * n.full.ratio(now, PRIOR, 0) - 1 && figure(n) < limit(n, softWait(q)) && !late(n, q);
+            return figure(n) < limit(n, softWait(q)) && !late(n, q);
         }
 
         private boolean late(Node n, Qry q) {
@@ -586,7 +585,6 @@
             took = Math.max(took, e.qry.track.sloNs());
             paced = true;
         }
-        n.full.add(now, outcome == Outcome.TURNED_AWAY ? 1 : 0, 1);
         unconnected.add(now, outcome == Outcome.NO_CONNECTION ? 1 : 0, 0);
         n.pace[e.scope].add(now, paced ? took : 0, paced ? e.depth + 1 : 0);
         if (n == origin || outcome == Outcome.NEVER_SENT || e.stopped && outcome == Outcome.CANCELLED) {
--- a/src/main/java/spurroad/Node.java
+++ b/src/main/java/spurroad/Node.java
@@ -16,13 +16,11 @@
     // times of completed queries over the figures they met, by whether those were the stand-in or reported
     final Fading[] pace;
     Fading bad;
-    final Fading full;
 
-    Node(NodeEntry entry, long memoryNs, long longMemoryNs, long pause) {
+    Node(NodeEntry entry, long memoryNs, long pause) {
         this.entry = entry;
         this.pause = pause;
         pace = new Fading[] {new Fading(memoryNs), new Fading(memoryNs)};
-        full = new Fading(longMemoryNs);
         bad = new Fading(memoryNs);
     }
 }
