An unknown key counts with what a miss takes beyond a hit

The mean time of a miss held the queue that hits find too, so crowded nodes passed for a slow origin.

--- a/src/main/java/spurroad/Balance.java
+++ b/src/main/java/spurroad/Balance.java
@@ -349,7 +349,7 @@
             double room = q.track.importance() < mostImportance ? SHED_SHARE * shortestSloNs : Long.MAX_VALUE;
             // slow origin: reads that would miss held places that hits could have had (origin incident)
             boolean hit = known.get(q.key) == n || q.write;
-            double fetch = hit || origin != null ? 0 : FETCH_TAIL * fetchTimes.ratio(now, PRIOR, 0);
+            double fetch = hit || origin != null ? 0 : FETCH_TAIL * fetchExcess();
             double queue = expected(n, 0);
             return queue > room || queue + fetch > LATE_SHARE * (q.sloAt - now);
         }
@@ -533,9 +533,12 @@
 
     /** The queueing that a candidate may show: a moved query may miss, so slow fetches make for patience. */
     private double softWait(Qry q) {
-        double fetch = origin != null ? expected(origin, 0)
-            : fetchTimes.ratio(now, PRIOR, 0) - hitTimes.ratio(now, PRIOR, 0);
-        return WAIT_SHARE * q.track.sloNs() + MOVE_SHARE * Math.max(0, fetch);
+        return WAIT_SHARE * q.track.sloNs() + MOVE_SHARE * (origin != null ? expected(origin, 0) : fetchExcess());
+    }
+
+    /** What a miss takes beyond a hit: the queue that both find is no part of the fetch. */
+    private double fetchExcess() {
+        return Math.max(0, fetchTimes.ratio(now, PRIOR, 0) - hitTimes.ratio(now, PRIOR, 0));
     }
 
     private double limit(Node n, double waitNs) {
