--- a/src/main/java/spurroad/Balance.java
+++ b/src/main/java/spurroad/Balance.java
@@ -268,8 +268,7 @@
             if (leader != null && leader != q) {
                 followers.computeIfAbsent(leader, k -> new ArrayList<>()).add(q);
                 hold(q, Hold.FETCH, q.sloAt);
-            } else if (origin == null || expected(origin, waiting.headSet(q).size())
-                > LATE_SHARE * (q.sloAt - now)) {
+            } else if (origin == null || expected(origin, waiting.headSet(q).size()) > q.sloAt - now) {
                 giveUp(q);
             } else {
                 waiting.add(q);
