The origin's usual pace is its own, not that of the caches

A proxy with few fetches took the caches' pace for the origin's and gave misses up, which then stayed misses.

--- a/src/main/java/spurroad/Balance.java
+++ b/src/main/java/spurroad/Balance.java
@@ -527,7 +527,9 @@
     /** Time per query in the figure, as completed ones showed it; of the scope of the figure. */
     private double pace(Node n) {
         int s = fresh(n) ? 1 : 0;
-        double usual = allPace[s].ratio(now, PRIOR, shortestSloNs * LEAST_USUAL / CANDIDATES);
+        double quick = shortestSloNs * LEAST_USUAL / CANDIDATES;
+        // the caches' pace stood in for an origin seldom asked: misses were given up (busy day at full size)
+        double usual = n == origin ? quick : allPace[s].ratio(now, PRIOR, quick);
         return n.pace[s].ratio(now, PRIOR, usual);
     }
 
