--- a/src/main/java/spurroad/Qry.java
+++ b/src/main/java/spurroad/Qry.java
@@ -17,7 +17,7 @@
     final boolean write;
     final long order, point, sloAt, endAt;
     final double luck;
-    boolean beyondShare, missed, served, done;
+    boolean beyondShare, blind, missed, served, done;
     final List<Exec> execs = new ArrayList<>(2);
     int out, holds;
     Exec mayHaveRun;
--- a/src/test/java/spurroad/BalanceTest.java
+++ b/src/test/java/spurroad/BalanceTest.java
@@ -248,6 +248,29 @@
         assertTrue(cold > 0 && cold < sent / 8, cold + " of " + sent);
     }
 
+    /** Busy days at full size: what the first candidate answers under pressure, and who takes the query. */
+    @DataProvider
+    Object[][] blind() {
+        return new Object[][] {{0.0, 0}, {500.0, 1}, {Double.NaN, 1}};
+    }
+
+    @Test(dataProvider = "blind")
+    public void underPressureAnUnknownFirstCandidateIsProbedBeforeItIsSentTo(double queue, int taker) {
+        List<Long> c = candidates();
+        Rig rig = Rig.of(8, false);
+        for (long q = 1; q <= 30; q++) {
+            rig.ask(q, READ, q);
+            for (int i = 0; i < 4; i++) {
+                rig.end(q, i, Outcome.TURNED_AWAY);
+            }
+        }
+        assertTrue(rig.ask(100, READ, KEY).starts.isEmpty());
+        assertTrue(rig.decided.probes.stream().allMatch(n -> n.value() == c.get(0)));
+        Decisions d = Double.isNaN(queue) ? rig.after(21) : rig.probed(c.get(0), Outcome.COMPLETED, queue);
+        d = d.starts.isEmpty() ? rig.probed(c.get(1), Outcome.COMPLETED, 0) : d;
+        assertEquals(d.starts.get(0).node().value(), (long) c.get(taker));
+    }
+
     /** Lost data centre at full size: proxies, and the share of a warm node that a cold one gets from all. */
     @DataProvider
     Object[][] coldShares() {
--- a/src/test/java/spurroad/Rig.java
+++ b/src/test/java/spurroad/Rig.java
@@ -101,7 +101,7 @@
     Decisions probed(long node, Outcome outcome, double inFlight) {
         decided.clear();
         balance.probed(now, new NodeId(node), outcome, 2 * MS,
-            new LoadReport(inFlight, Double.NaN), decided);
+            new LoadReport(inFlight, Double.NaN, Double.NaN), decided);
         return decided;
     }
 
