Under pressure a first candidate without a fresh figure is probed first, where probes tell a queue

A proxy of hundreds meets a node once in half a minute, so the soft limit never had a figure and the mechanism was a plain ring. While queries end late or are given up, in proportion to that, the missing figure is fetched first; an answer under the limit goes home, any other begins the designed step. The figure from the busy share is undone; tests are green again.

--- a/src/main/java/spurroad/Balance.java
+++ b/src/main/java/spurroad/Balance.java
@@ -14,7 +14,6 @@
     static final int POINTS = 96; // ring points of a mean node: shares differ by a tenth, walks stay short
     static final long FRESH_NS = 900_000_000L; // ns; age of a figure: the design asks for under a second
     static final long PROBE_WAIT_NS = 20_000_000L; // ns; the design's start
-    static final double FULLY_BUSY = 0.98; // of the cores: noise makes no more of a busy share
     static final double LEAST_LIMIT = 2; // queries; the design's floor of the soft limit
     static final double WAIT_SHARE = 0.1; // of the SLO time: queueing at a node before others are asked
     static final int KNOWN_KEYS = 4096; // keys; whose last node is remembered: some seconds' worth
@@ -328,7 +327,7 @@
             Node local = c.get(0);
             q.asked.clear();
             // own figures say nothing of a node met once in half a minute (busy days at full size)
-            q.blind = c.size() > 1 && given.probes() && !fresh(local) && q.execs.isEmpty()
+            q.blind = c.size() > 1 && given.tellsQueue() && !fresh(local) && q.execs.isEmpty()
                 && q.luck * PRESSED_MOST < pressed.ratio(now, PRIOR, 0);
             if (q.blind) {
                 q.candidates = c;
@@ -579,9 +578,6 @@
 
     private void learn(Node n, LoadReport load) {
         double reported = Double.isNaN(load.inFlight()) ? load.queue() : load.inFlight();
-        // where only the busy share is told, what queueing theory makes of it: crowding without a queue figure
-        double busy = Math.min(FULLY_BUSY, load.busy());
-        reported = Double.isNaN(reported) ? busy / (1 - busy) : reported;
         if (!Double.isNaN(reported)) {
             n.reported = Math.max(0, reported);
             n.reportedAt = now;
--- a/src/main/java/spurroad/model/Deployment.java
+++ b/src/main/java/spurroad/model/Deployment.java
@@ -11,8 +11,9 @@
  * @param maxComeBackNs how long a rejected client may be asked to stay away; zero where it is not told
  * @param idleNs       how long nodes leave an idle connection open
  * @param idleQueries  how many own queries a node apart a connection may idle before opening anew is cheaper
+ * @param tellsQueue   whether a probe tells a node's queue or what it has in flight
  */
 public record Deployment(List<Track> tracks, List<Double> customerPace, KindId originKind, boolean mustAsk,
                          boolean probes, boolean cancels, long maxComeBackNs,
                          int mostExecutions, double startCapacity, long coldNs, long tickNs,
-                         long idleNs, double idleQueries) { }
+                         long idleNs, double idleQueries, boolean tellsQueue) { }
--- a/src/main/java/spurroad/model/LoadReport.java
+++ b/src/main/java/spurroad/model/LoadReport.java
@@ -1,6 +1,6 @@
 package spurroad.model;
 
 /** What a node reports of itself; a figure that was not reported is NaN. */
-public record LoadReport(double inFlight, double queue, double busy) {
-    public static final LoadReport NONE = new LoadReport(Double.NaN, Double.NaN, Double.NaN);
+public record LoadReport(double inFlight, double queue) {
+    public static final LoadReport NONE = new LoadReport(Double.NaN, Double.NaN);
 }
--- a/src/main/java/spurroad/wirehost/StartLines.java
+++ b/src/main/java/spurroad/wirehost/StartLines.java
@@ -50,7 +50,8 @@
             flag("allowed.retryAfter") ? time("allowed.maxRetryAfterUs", 0) : 0,
             Math.max(1, (int) number("allowed.mostExecutions", 1)),
             number("obligations.startCapacity", 1), time("obligations.coldUs", 0),
-            time("tickUs", 0), time("allowed.idleCloseUs", Long.MAX_VALUE / NS_PER_US / 4), idleQueries(proxies));
+            time("tickUs", 0), time("allowed.idleCloseUs", Long.MAX_VALUE / NS_PER_US / 4), idleQueries(proxies),
+            flag("allowed.probes") && (reportColumns.contains("rif") || reportColumns.contains("q")));
     }
 
     /** A handshake is priced for each query, an open connection for each hundred of them a node. */
--- a/src/main/java/spurroad/wirehost/WireHost.java
+++ b/src/main/java/spurroad/wirehost/WireHost.java
@@ -253,18 +253,17 @@
         if (count == 0) {
             return LoadReport.NONE;
         }
-        double inFlight = Double.NaN, queue = Double.NaN, busy = Double.NaN;
+        double inFlight = Double.NaN, queue = Double.NaN;
         for (int i = 0; i < count; i++) {
             double value = f.getFloat();
             String column = i < columns.size() && Double.isFinite(value) ? columns.get(i) : "";
             switch (column) {
                 case "rif" -> inFlight = value;
                 case "q" -> queue = value;
-                case "busy" -> busy = value;
                 default -> { }
             }
         }
-        return new LoadReport(inFlight, queue, busy);
+        return new LoadReport(inFlight, queue);
     }
 
     private static String text(ByteBuffer f) {
--- a/src/test/java/spurroad/BalanceTest.java
+++ b/src/test/java/spurroad/BalanceTest.java
@@ -257,7 +257,8 @@
     @Test(dataProvider = "blind")
     public void underPressureAnUnknownFirstCandidateIsProbedBeforeItIsSentTo(double queue, int taker) {
         List<Long> c = candidates();
-        Rig rig = Rig.of(8, false);
+        Rig rig = new Rig(false, DedupScope.ALL, 7, true);
+        rig.list(true, Rig.entries(8, false));
         for (long q = 1; q <= 30; q++) {
             rig.ask(q, READ, q);
             for (int i = 0; i < 4; i++) {
@@ -281,7 +282,7 @@
     public void allProxiesTogetherSendAColdNodeItsShare(int proxies, int each) {
         int cold = 0, warm = 0;
         for (int p = 0; p < proxies; p++) {
-            Rig rig = new Rig(false, DedupScope.ALL, p);
+            Rig rig = new Rig(false, DedupScope.ALL, p, false);
             rig.list(true, Rig.entries(8, false));
             rig.list(false, List.of(Rig.entry(0, Phase.READY, rig.now)));
             for (int i = 0; i < each; i++) {
@@ -298,7 +299,7 @@
     @Test
     public void whatOtherNodesTurnAwayStaysOffColdOnes() {
         for (long q = 1; q <= 200; q++) {
-            Rig rig = new Rig(false, DedupScope.ALL, q);
+            Rig rig = new Rig(false, DedupScope.ALL, q, false);
             rig.list(true, List.of(Rig.entry(0, Phase.READY, 0), Rig.entry(1, Phase.READY, rig.now)));
             if (rig.target(q, READ, q) == 0) {
                 rig.end(q, 0, Outcome.TURNED_AWAY);
