--- a/src/main/java/spurroad/Balance.java
+++ b/src/main/java/spurroad/Balance.java
@@ -35,6 +35,7 @@
     static final double FURTHER_MOST = 5; // further executions saved up: hundreds of proxies save alike
     static final double PRESSED_SHARE = 0.7; // of the SLO time: a longer answer tells of queues
     static final double PRESSED_MOST = 0.1; // of the queries: so many pressed shed all beyond a share
+    static final double HOPELESS = 0.5; // of the queries: more pressed ones shed reads within a share too
     static final double SHED_SHARE = 0.4; // of the shortest SLO time: queues that lesser tracks may find
     static final double LATE_SHARE = 0.7; // of the SLO time left: beyond it a mean is late too often
     static final double COME_BACK = 0.5; // of the SLO time until a rejected client may try: queues have moved
@@ -59,17 +60,16 @@
     private final TreeSet<Qry> waiting = new TreeSet<>(Comparator.comparing((Qry q) -> q.beyondShare)
         .thenComparing(q -> -q.track.importance()).thenComparing(q -> !q.write).thenComparing(q -> q.order));
     private final Fading[] allPace = {new Fading(MEMORY_NS), new Fading(MEMORY_NS)};
-    private final Fading pressed = new Fading(MEMORY_NS);
-    private final Fading allTimes = new Fading(MEMORY_NS);
     private final Fading fetchTimes = new Fading(MEMORY_NS), hitTimes = new Fading(MEMORY_NS);
-    private final Fading allBad = new Fading(MEMORY_NS);
+    private final Fading allBad = new Fading(MEMORY_NS), allTimes = new Fading(MEMORY_NS);
+    private final Fading pressed = new Fading(MEMORY_NS);
     private final Known known = new Known(KNOWN_KEYS);
     private final List<Qry> probingQueries = new ArrayList<>();
     private final Fading arrivals = new Fading(LONG_MEMORY_NS), unconnected = new Fading(LONG_MEMORY_NS);
     private final Set<Node> watched = new LinkedHashSet<>(); // with executions out, or owing a probe
     private final Idle idle = new Idle();
     private double further = FURTHER_MOST;
-    private long order, now, lastArrival, followPause = FOLLOW_NS;
+    private long order, now, followPause = FOLLOW_NS;
     private long followAt = Long.MAX_VALUE, sweepAt = Long.MAX_VALUE;
     private boolean following;
     private Decisions decisions;
@@ -81,11 +81,7 @@
         mostImportance = start.tracks().stream().mapToDouble(Track::importance).max().orElse(0);
         customerSent = new Fading[start.customerPace().size()];
         Arrays.setAll(customerSent, c -> new Fading(LONG_MEMORY_NS));
-        Stage[] chain = {first, fetch, choice, sending};
-        for (int i = 0; i + 1 < chain.length; i++) {
-            chain[i].next = chain[i + 1];
-            chain[i + 1].previous = chain[i];
-        }
+        Stage.link(first, fetch, choice, sending);
     }
 
     // ---- what happens
@@ -130,8 +126,7 @@
         Track kind = given.tracks().get(Math.min(track.value(), given.tracks().size() - 1));
         long slo = kind.sloNs() + (long) (kind.sloStretch() * workNs);
         Qry q = new Qry(id, kind, key, write, order++, random, now, slo, budgetNs);
-        arrivals.add(now, 1, now - lastArrival);
-        lastArrival = now;
+        arrivals.add(now, 1, 0);
         int c = customer.value();
         if (c >= 0 && c < customerSent.length) {
             customerSent[c].add(now, 1, 0);
@@ -172,17 +167,14 @@
         Node n = nodes.get(id);
         if (n != null) {
             n.probing = false;
-            boolean answered = outcome == Outcome.COMPLETED;
-            if (answered) {
+            if (outcome == Outcome.COMPLETED) {
                 learn(n, load);
                 n.proven = true;
+                List.copyOf(probingQueries).forEach(q -> choice.heard(q, n));
             } else {
                 n.probeFailedAt = now;
                 n.asideUntil = n.proven ? n.asideUntil : Math.max(n.asideUntil, now + n.pause);
             }
-            for (Qry q : answered ? List.copyOf(probingQueries) : List.<Qry>of()) {
-                choice.heard(q, n);
-            }
         }
         finish();
     }
@@ -202,7 +194,7 @@
 
     private void begin(long at, Decisions into) {
         now = at;
-        lastArrival = lastArrival == 0 ? at : lastArrival;
+        arrivals.pass(now);
         decisions = into;
     }
 
@@ -225,25 +217,24 @@
         decisions.wakeNs = Math.min(Math.min(agenda.next(), closeIdle()), Math.min(followAt, sweepAt));
     }
 
-    // ---- stages
-
     /** Takes a query in and owes its final answer. */
     private final class Entry extends Stage {
         void pass(Qry q) {
-            // full nodes and late answers everywhere: what is worth least makes room (busy days at full size)
-            if (q.beyondShare && random.nextDouble() * PRESSED_MOST < pressed.ratio(now, PRIOR, 0)) {
+            // full nodes, late answers: what is worth least makes room (busy days at full size), and where
+            // most queries end so, reads too: nodes did nothing but turn them away (crowding incident)
+            double part = pressed.ratio(now, PRIOR, 0);
+            part = q.beyondShare ? part / PRESSED_MOST : q.write ? 0 : (part - HOPELESS) / (1 - HOPELESS);
+            if (q.execs.isEmpty() && random.nextDouble() < part) {
                 giveUp(q);
             } else {
                 next.pass(q);
             }
         }
 
-        @Override
         void back(Qry q, Exec e, Outcome outcome, CacheNote note) {
-            boolean unseen = outcome.provesNotRun();
             boolean inTime = now + given.tickNs() < (q.track.lateShare() > 0 ? q.endAt : q.sloAt);
             // storms: queries turned away went on to every node (first incidents; busy days at full size)
-            boolean free = unseen && q.avoid.size() < CANDIDATES;
+            boolean free = outcome.provesNotRun() && q.avoid.size() < CANDIDATES;
             if (outcome == Outcome.NEVER_SENT || !inTime || !free && further < 1) {
                 pressed.add(now, 1, 1);
                 giveUp(q);
@@ -256,17 +247,14 @@
 
     /** Brings misses and writes to the origin, one fetch a key, as many at once as it is seen to bear. */
     private final class Fetch extends Stage {
-        private final Map<CacheKey, Qry> leaders = new HashMap<>();
-        private final Map<Qry, List<Qry>> followers = new HashMap<>();
+        private final Shared shared = new Shared();
 
         void pass(Qry q) {
             if (given.originKind() == null || !q.write && !q.missed) {
                 next.pass(q);
                 return;
             }
-            Qry leader = q.write || q.key.value() == 0 ? null : leaders.putIfAbsent(q.key, q);
-            if (leader != null && leader != q) {
-                followers.computeIfAbsent(leader, k -> new ArrayList<>()).add(q);
+            if (!q.write && q.key.value() != 0 && shared.follows(q)) {
                 hold(q, Hold.FETCH, q.sloAt);
             } else if (origin == null || expected(origin, waiting.headSet(q).size()) > q.sloAt - now) {
                 giveUp(q);
@@ -289,11 +277,9 @@
             }
         }
 
-        @Override
         void back(Qry q, Exec e, Outcome outcome, CacheNote note) {
-            boolean miss = outcome == Outcome.MISS && origin != null && e.node != origin;
-            q.missed |= miss;
-            if (miss) {
+            if (outcome == Outcome.MISS && origin != null && e.node != origin) {
+                q.missed = true;
                 pass(q);
             } else {
                 previous.back(q, e, outcome, note);
@@ -303,15 +289,13 @@
         /** The fetch of a key is over: those who waited look at the cache again, or one of them leads. */
         private void over(Qry q) {
             waiting.remove(q);
-            leaders.remove(q.key, q);
-            for (Qry f : followers.getOrDefault(q, List.of())) {
+            for (Qry f : shared.end(q)) {
                 if (f.hold == Hold.FETCH) {
                     release(f);
                     f.missed = !q.served;
                     first.pass(f);
                 }
             }
-            followers.remove(q);
         }
     }
 
@@ -325,7 +309,6 @@
                 return;
             }
             Node local = c.get(0);
-            q.asked.clear();
             // own figures say nothing of a node met once in half a minute (busy days at full size)
             q.blind = c.size() > 1 && given.tellsQueue() && !fresh(local) && q.execs.isEmpty()
                 && q.luck * PRESSED_MOST < pressed.ratio(now, PRIOR, 0);
@@ -346,6 +329,7 @@
         }
 
         private void ask(Qry q, List<Node> nodes) {
+            q.asked.clear();
             q.asked.addAll(nodes);
             nodes.forEach(Balance.this::probe);
             probingQueries.add(q);
@@ -383,7 +367,6 @@
             release(q);
             if (q.blind && c.size() > 1) {
                 q.blind = false;
-                q.asked.clear();
                 ask(q, c.subList(1, c.size()));
             } else if (c.isEmpty() || now + given.tickNs() >= q.endAt) {
                 giveUp(q);
@@ -431,7 +414,6 @@
             decisions.starts.add(new Decisions.Start(q.id, n.entry.id(), until - now));
         }
 
-        @Override
         void back(Qry q, Exec e, Outcome outcome, CacheNote note) {
             e.out = false;
             q.out--;
@@ -458,11 +440,9 @@
     // ---- rules by the kind of track: the only place that says what may be sent or answered
 
     private boolean maySend(Qry q, Node n) {
-        if (q.execs.size() >= given.mostExecutions() || q.out > 0 || n.entry.phase() != Phase.READY) {
-            return false;
-        }
+        boolean may = q.execs.size() < given.mostExecutions() && q.out == 0 && n.entry.phase() == Phase.READY;
         Exec ran = q.mayHaveRun;
-        return ran == null || switch (q.track.effect()) {
+        return may && (ran == null || switch (q.track.effect()) {
             case IDEMPOTENT -> true;
             case NON_IDEMPOTENT -> false;
             case DEDUPLICATED -> remembered(q) && switch (q.track.dedupScope()) {
@@ -470,7 +450,7 @@
                 case ZONE -> ran.node.entry.zone().equals(n.entry.zone());
                 case CELL -> ran.node.entry.cell().equals(n.entry.cell());
             };
-        };
+        });
     }
 
     private boolean mayReject(Qry q) {
@@ -514,8 +494,6 @@
         }
     }
 
-    // ---- holding
-
     private void hold(Qry q, Hold why, long until) {
         q.hold = why;
         // never due at once: a query out of time was held and released in turn for ever (overloaded days)
@@ -523,9 +501,7 @@
     }
 
     private void release(Qry q) {
-        if (q.hold == Hold.PROBES) {
-            probingQueries.remove(q);
-        }
+        probingQueries.remove(q);
         q.hold = Hold.NONE;
     }
 
@@ -551,7 +527,8 @@
 
     /** The queueing that a candidate may show: a moved query may miss, so slow fetches make for patience. */
     private double softWait(Qry q) {
-        return WAIT_SHARE * q.track.sloNs() + MOVE_SHARE * (origin != null ? expected(origin, 0) : fetchExcess());
+        double fetch = origin != null ? expected(origin, 0) : fetchExcess();
+        return WAIT_SHARE * q.track.sloNs() + MOVE_SHARE * fetch;
     }
 
     /** What a miss takes beyond a hit: the queue that both find is no part of the fetch. */
@@ -579,9 +556,7 @@
     private void learn(Node n, LoadReport load) {
         double reported = Double.isNaN(load.inFlight()) ? load.queue() : load.inFlight();
         if (!Double.isNaN(reported)) {
-            n.reported = Math.max(0, reported);
-            n.reportedAt = now;
-            n.sentSince = 0;
+            n.report(Math.max(0, reported), now);
         }
     }
 
@@ -591,9 +566,7 @@
         Node n = e.node;
         long took = now - e.sentAt;
         boolean answered = outcome.answered();
-        if (answered) {
-            n.lastAnswerAt = now;
-        }
+        n.lastAnswerAt = answered ? now : n.lastAnswerAt;
         boolean fetched = given.originKind() == null && (note == CacheNote.MISS || e.qry.write);
         boolean paced = outcome == Outcome.COMPLETED && !fetched;
         // hangs at full size: time-outs of silent nodes passed for slow fetches, and reads were shed for it
@@ -673,15 +646,12 @@
             if (n.asideUntil <= now) {
                 setAside(n);
             }
-            n.out.stream().filter(e -> !e.qry.done && e.qry.track.effect() != Effect.NON_IDEMPOTENT
+            n.out.stream().filter(e -> e.qry.track.effect() != Effect.NON_IDEMPOTENT
                 && e.qry.execs.size() < given.mostExecutions()).forEach(this::stop);
         }
     }
 
-    /**
-     * Connections are kept while that costs less than opening anew, and shorter where connects fail: proxies
-     * held all that the nodes accept, and half of the executions got none (busy days at full size).
-     */
+    /** Closes what idles beyond its worth, sooner where connects fail (nodes held full, busy days). */
     private long closeIdle() {
         double apart = arrivals.at(now).bottom / Math.max(1, arrivals.top);
         double keep = Math.min(given.idleNs(), given.idleQueries() * nodes.size() * apart);
@@ -692,8 +662,6 @@
         return idle.first() + kept;
     }
 
-    // ---- candidates
-
     private boolean ready(Node n, Qry q) {
         boolean idempotent = q.track.effect() == Effect.IDEMPOTENT;
         boolean trickling = n.trickle > 0 && (!idempotent || n.trickleLeft <= 0 || !n.proven);
@@ -701,25 +669,17 @@
             && (idempotent || !silent(n, SILENCE / 2)) && hasRoomWhileCold(n, q);
     }
 
-    /**
-     * A cold node takes the share of its keys that its stated warm-up lets it carry, drawn by chance.
-     * Floors a proxy added up: hundreds of proxies pushed cold nodes over (lost data centre at full size).
-     */
+    /** The share that its warm-up allows, by chance: floors a proxy added up (lost data centre at size). */
     private boolean hasRoomWhileCold(Node n, Qry q) {
-        long age = now - n.entry.startedNs();
-        if (n.entry.startedNs() == 0 || age >= given.coldNs()) {
-            return true;
-        }
-        double warmth = (double) Math.max(0, age) / given.coldNs();
+        double warmth = (double) Math.max(0, now - n.entry.startedNs()) / Math.max(1, given.coldNs());
         // storms: what full nodes turned away went on to cold ones (overloaded day, lost data centre)
-        return q.execs.isEmpty() && q.luck < given.startCapacity() + (1 - given.startCapacity()) * warmth;
+        return n.entry.startedNs() == 0 || warmth >= 1
+            || q.execs.isEmpty() && q.luck < given.startCapacity() + (1 - given.startCapacity()) * warmth;
     }
 
     /** The first distinct nodes clockwise from the key; where none is ready, those that may be sent to. */
     private List<Node> walk(Qry q, boolean onlyReady) {
-        if (ring == null) {
-            buildRing();
-        }
+        ring = ring == null ? new Ring(caches, POINTS, CANDIDATES) : ring;
         List<Node> found = new ArrayList<>(CANDIDATES);
         for (int from = ring.from(q.point), i = 0; i < ring.size() && found.size() < CANDIDATES; i++) {
             Node n = ring.owner(from + i);
@@ -729,13 +689,4 @@
         }
         return found;
     }
-
-    private void buildRing() {
-        double mean = caches.stream().mapToDouble(n -> n.entry.weight()).average().orElse(1);
-        ring = new Ring();
-        for (Node n : caches) {
-            ring.add(n, (int) Math.max(1, POINTS * Math.min(CANDIDATES, n.entry.weight() / mean)));
-        }
-        ring.close();
-    }
 }
--- a/src/main/java/spurroad/Fading.java
+++ b/src/main/java/spurroad/Fading.java
@@ -3,7 +3,7 @@
 /** Two sums that lose their weight evenly with time, brought up to date when read. */
 final class Fading {
     private final double memory;
-    private long at;
+    private long at, passedAt;
     double top, bottom;
 
     Fading(long memoryNs) {
@@ -25,6 +25,12 @@
         bottom += moreBottom;
     }
 
+    /** Adds the time that has passed to the bottom sum; none before the first call. */
+    void pass(long now) {
+        add(now, 0, passedAt == 0 ? 0 : now - passedAt);
+        passedAt = now;
+    }
+
     /** The ratio of the sums, as if `weight` of it had been `usual`. */
     double ratio(long now, double weight, double usual) {
         return (at(now).top + weight * usual) / Math.max(1e-9, bottom + weight);
--- a/src/main/java/spurroad/Node.java
+++ b/src/main/java/spurroad/Node.java
@@ -23,4 +23,10 @@
         pace = new Fading[] {new Fading(memoryNs), new Fading(memoryNs)};
         bad = new Fading(memoryNs);
     }
+
+    void report(double figure, long now) {
+        reported = figure;
+        reportedAt = now;
+        sentSince = 0;
+    }
 }
--- a/src/main/java/spurroad/Ring.java
+++ b/src/main/java/spurroad/Ring.java
@@ -1,6 +1,5 @@
 package spurroad;
 
-import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.List;
 
@@ -8,28 +7,29 @@
 final class Ring {
     private static final int INDEX_BITS = 16;
     private static final long INDEX = (1L << INDEX_BITS) - 1;
-    private final List<Node> nodes = new ArrayList<>();
+    private final List<Node> nodes;
     // a point's place on the ring, its lowest bits replaced by the index of the node that owns it
-    private long[] points = new long[0];
-    private int count;
-
-    void add(Node node, int share) {
-        long id = mix(node.entry.id().value());
-        points = points.length < count + share ? Arrays.copyOf(points, 2 * count + share) : points;
-        for (int i = 1; i <= share; i++) {
-            points[count++] = mix(id + i) & ~INDEX | nodes.size() & INDEX;
+    private final long[] points;
+
+    /** Points in proportion to weight: `mean` of them for a node of mean weight, at most `most` times that. */
+    Ring(List<Node> nodes, int mean, double most) {
+        this.nodes = nodes;
+        double weight = nodes.stream().mapToDouble(n -> n.entry.weight()).average().orElse(1);
+        int[] shares = nodes.stream()
+            .mapToInt(n -> (int) Math.max(1, mean * Math.min(most, n.entry.weight() / weight))).toArray();
+        points = new long[Arrays.stream(shares).sum()];
+        for (int n = 0, at = 0; n < shares.length; n++) {
+            long id = mix(nodes.get(n).entry.id().value());
+            for (int i = 1; i <= shares[n]; i++) {
+                points[at++] = mix(id + i) & ~INDEX | n & INDEX;
+            }
         }
-        nodes.add(node);
-    }
-
-    void close() {
-        points = Arrays.copyOf(points, count);
         Arrays.sort(points);
     }
 
     /** How many points there are, each by its place clockwise from a hash. */
     int size() {
-        return count;
+        return points.length;
     }
 
     int from(long hash) {
@@ -38,7 +38,7 @@
     }
 
     Node owner(int place) {
-        return nodes.get((int) (points[place % count] & INDEX));
+        return nodes.get((int) (points[place % points.length] & INDEX));
     }
 
     /** Spreads the bits of an id evenly (the finisher of SplitMix64). */
--- /dev/null
+++ b/src/main/java/spurroad/Shared.java
@@ -0,0 +1,30 @@
+package spurroad;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import spurroad.model.CacheKey;
+
+/** Who fetches a key, and who waits for that fetch. */
+final class Shared {
+    private final Map<CacheKey, Qry> leaders = new HashMap<>();
+    private final Map<Qry, List<Qry>> followers = new HashMap<>();
+
+    /** Whether another query fetches this one's key, which this one then waits for; else it leads. */
+    boolean follows(Qry q) {
+        Qry leader = leaders.putIfAbsent(q.key, q);
+        if (leader == null || leader == q) {
+            return false;
+        }
+        followers.computeIfAbsent(leader, k -> new ArrayList<>()).add(q);
+        return true;
+    }
+
+    /** The query leads no more; those who waited for it. */
+    List<Qry> end(Qry q) {
+        leaders.remove(q.key, q);
+        List<Qry> waited = followers.remove(q);
+        return waited == null ? List.of() : waited;
+    }
+}
--- a/src/main/java/spurroad/Stage.java
+++ b/src/main/java/spurroad/Stage.java
@@ -7,6 +7,13 @@
 abstract class Stage {
     Stage next, previous;
 
+    static void link(Stage... chain) {
+        for (int i = 0; i + 1 < chain.length; i++) {
+            chain[i].next = chain[i + 1];
+            chain[i + 1].previous = chain[i];
+        }
+    }
+
     void pass(Qry q) {
         next.pass(q);
     }
