Cold nodes get less by how hot their keys are here and how pressed all is: fail-back under overload

The first executions of a hot key, and of clients asking again, were several times what the node can do, so the start share of them was too; a proxy knows how often its own queries fall to a node and how many end badly.

--- a/src/main/java/spurroad/Balance.java
+++ b/src/main/java/spurroad/Balance.java
@@ -95,7 +95,7 @@
         for (NodeEntry e : entries) {
             Node n = nodes.get(e.id());
             if (n == null || n.entry.startedNs() != e.startedNs()) {
-                watched.remove(nodes.put(e.id(), new Node(e, MEMORY_NS, PAUSE_NS)));
+                watched.remove(nodes.put(e.id(), new Node(e, MEMORY_NS, LONG_MEMORY_NS, PAUSE_NS)));
             } else {
                 n.entry = e;
             }
@@ -505,8 +505,6 @@
         q.hold = Hold.NONE;
     }
 
-    // ---- figures
-
     private boolean fresh(Node n) {
         return now - n.reportedAt < FRESH_NS;
     }
@@ -548,8 +546,7 @@
 
     private void probe(Node n) {
         if (given.probes() && !n.probing) {
-            n.probing = true;
-            decisions.probes.add(n.entry.id());
+            n.probing = decisions.probes.add(n.entry.id());
         }
     }
 
@@ -560,8 +557,6 @@
         }
     }
 
-    // ---- health
-
     private void judge(Exec e, Outcome outcome, CacheNote note) {
         Node n = e.node;
         long took = now - e.sentAt;
@@ -672,9 +667,11 @@
     /** The share that its warm-up allows, by chance: floors a proxy added up (lost data centre at size). */
     private boolean hasRoomWhileCold(Node n, Qry q) {
         double warmth = (double) Math.max(0, now - n.entry.startedNs()) / Math.max(1, given.coldNs());
-        // storms: what full nodes turned away went on to cold ones (overloaded day, lost data centre)
-        return n.entry.startedNs() == 0 || warmth >= 1
-            || q.execs.isEmpty() && q.luck < given.startCapacity() + (1 - given.startCapacity()) * warmth;
+        // storms and hot keys, turned away elsewhere or asked again, pushed cold ones over (release, lost zone)
+        double asked = Math.max(1, (n.asked.at(now).top - 1) / (arrivals.at(now).top * n.part));
+        double carried = given.startCapacity() + (1 - given.startCapacity()) * warmth;
+        return n.entry.startedNs() == 0 || warmth >= 1 || q.execs.isEmpty()
+            && q.luck * asked < carried * (1 - pressed.ratio(now, PRIOR, 0));
     }
 
     /** The first distinct nodes clockwise from the key; where none is ready, those that may be sent to. */
@@ -683,6 +680,7 @@
         List<Node> found = new ArrayList<>(CANDIDATES);
         for (int from = ring.from(q.point), i = 0; i < ring.size() && found.size() < CANDIDATES; i++) {
             Node n = ring.owner(from + i);
+            n.asked.add(now, i == 0 && onlyReady && q.execs.isEmpty() ? 1 : 0, 0);
             if (!found.contains(n) && (onlyReady ? ready(n, q) : hasRoomWhileCold(n, q) && maySend(q, n))) {
                 found.add(n);
             }
--- a/src/main/java/spurroad/Node.java
+++ b/src/main/java/spurroad/Node.java
@@ -16,11 +16,14 @@
     // times of completed queries over the figures they met, by whether those were the stand-in or reported
     final Fading[] pace;
     Fading bad;
+    final Fading asked; // queries whose key falls to it, sent or not
+    double part = 1; // of the ring
 
-    Node(NodeEntry entry, long memoryNs, long pause) {
+    Node(NodeEntry entry, long memoryNs, long longMemoryNs, long pause) {
         this.entry = entry;
         this.pause = pause;
         pace = new Fading[] {new Fading(memoryNs), new Fading(memoryNs)};
+        asked = new Fading(longMemoryNs);
         bad = new Fading(memoryNs);
     }
 
--- a/src/main/java/spurroad/Ring.java
+++ b/src/main/java/spurroad/Ring.java
@@ -19,6 +19,7 @@
             .mapToInt(n -> (int) Math.max(1, mean * Math.min(most, n.entry.weight() / weight))).toArray();
         points = new long[Arrays.stream(shares).sum()];
         for (int n = 0, at = 0; n < shares.length; n++) {
+            nodes.get(n).part = (double) shares[n] / points.length;
             long id = mix(nodes.get(n).entry.id().value());
             for (int i = 1; i <= shares[n]; i++) {
                 points[at++] = mix(id + i) & ~INDEX | n & INDEX;
--- a/src/test/java/spurroad/BalanceTest.java
+++ b/src/test/java/spurroad/BalanceTest.java
@@ -326,6 +326,22 @@
         }
     }
 
+    /** Release under overload at full size: every proxy sent its share of a hot key to the cold node. */
+    @Test
+    public void aColdNodeOfAHotKeyGetsLessOfIt() {
+        int cold = 0;
+        for (int p = 0; p < 100; p++) {
+            Rig rig = new Rig(false, DedupScope.ALL, p, false);
+            rig.list(true, Rig.entries(8, false));
+            rig.list(false, List.of(Rig.entry(candidates().get(0), Phase.READY, rig.now)));
+            for (long q = 1; q <= 20; q++) {
+                cold += rig.target(q, READ, KEY) == candidates().get(0) ? 1 : 0;
+                rig.end(q, 0, Outcome.COMPLETED);
+            }
+        }
+        assertTrue(cold > 0 && cold < 0.1 * 2000, "cold " + cold);
+    }
+
     /** Hangs: a node takes queries and answers none; what may run again moves, the rest stays. */
     @Test
     public void aSilentNodeIsSetAsideAndTricklesBack() {
