--- a/src/main/java/spurroad/Balance.java
+++ b/src/main/java/spurroad/Balance.java
@@ -667,7 +667,7 @@
     /** The share that its warm-up allows, by chance: floors a proxy added up (lost data centre at size). */
     private boolean hasRoomWhileCold(Node n, Qry q) {
         double warmth = (double) Math.max(0, now - n.entry.startedNs()) / Math.max(1, given.coldNs());
-        // storms and hot keys, turned away elsewhere or asked again, pushed cold ones over (release, lost zone)
+        // storms and hot keys, turned away elsewhere or asked again, pushed cold ones over (release)
         double asked = Math.max(1, (n.asked.at(now).top - 1) / (arrivals.at(now).top * n.part));
         double carried = given.startCapacity() + (1 - given.startCapacity()) * warmth;
         return n.entry.startedNs() == 0 || warmth >= 1 || q.execs.isEmpty()
