--- a/src/main/java/spurroad/Balance.java
+++ b/src/main/java/spurroad/Balance.java
@@ -232,7 +232,7 @@
         }
 
         void back(Qry q, Exec e, Outcome outcome, CacheNote note) {
-            boolean inTime = now + given.tickNs() < q.usefulUntil();
+            boolean inTime = now + given.tickNs() < (q.track.lateShare() > 0 ? q.endAt : q.sloAt);
             // storms: queries turned away went on to every node (first incidents; busy days at full size)
             boolean free = outcome.provesNotRun() && q.avoid.size() < CANDIDATES;
             if (outcome == Outcome.NEVER_SENT || !inTime || !free && further < 1) {
@@ -256,11 +256,11 @@
             }
             if (!q.write && q.key.value() != 0 && shared.follows(q)) {
                 hold(q, Hold.FETCH, q.sloAt);
-            } else if (origin == null || expected(origin, waiting.headSet(q).size()) > q.usefulUntil() - now) {
+            } else if (origin == null || expected(origin, waiting.headSet(q).size()) > q.sloAt - now) {
                 giveUp(q);
             } else {
                 waiting.add(q);
-                hold(q, Hold.ORIGIN, q.usefulUntil());
+                hold(q, Hold.ORIGIN, q.sloAt);
             }
         }
 
@@ -410,7 +410,7 @@
             q.out++;
             n.sentSince++;
             n.trickleLeft -= n.trickle > 0 ? 1 : 0;
-            long until = q.write ? q.endAt : q.usefulUntil();
+            long until = q.track.lateShare() > 0 || q.write ? q.endAt : q.sloAt;
             decisions.starts.add(new Decisions.Start(q.id, n.entry.id(), until - now));
         }
 
--- a/src/main/java/spurroad/Qry.java
+++ b/src/main/java/spurroad/Qry.java
@@ -39,9 +39,4 @@
         endAt = now + budgetNs;
         sloAt = Math.min(endAt, now + sloNs);
     }
-
-    /** Until when an answer still earns something. */
-    long usefulUntil() {
-        return track.lateShare() > 0 ? endAt : sloAt;
-    }
 }
