--- a/src/main/java/spurroad/Balance.java
+++ b/src/main/java/spurroad/Balance.java
@@ -35,7 +35,7 @@
     static final double FURTHER_MOST = 5; // further executions saved up: hundreds of proxies save alike
     static final double PRESSED_SHARE = 0.7; // of the SLO time: a longer answer tells of queues
     static final double PRESSED_MOST = 0.1; // of the queries: so many pressed shed all beyond a share
-    static final double HOPELESS = 0.25; // of the queries: beyond it reads within a share are shed too
+    static final double HOPELESS = 0.5; // of the queries: more pressed ones shed reads within a share too
     static final double SHED_SHARE = 0.4; // of the shortest SLO time: queues that lesser tracks may find
     static final double LATE_SHARE = 0.7; // of the SLO time left: beyond it a mean is late too often
     static final double COME_BACK = 0.5; // of the SLO time until a rejected client may try: queues have moved
@@ -221,7 +221,7 @@
     private final class Entry extends Stage {
         void pass(Qry q) {
             // full nodes, late answers: what is worth least makes room (busy days at full size), and where
-            // a quarter ends so, reads too: nodes did nothing but turn them away (crowding incident)
+            // most queries end so, reads too: nodes did nothing but turn them away (crowding incident)
             double part = pressed.ratio(now, PRIOR, 0);
             part = q.beyondShare ? part / PRESSED_MOST : q.write ? 0 : (part - HOPELESS) / (1 - HOPELESS);
             if (q.execs.isEmpty() && random.nextDouble() < part) {
