Reread: a dead probe time out, no decay for warm nodes or passed ring points, one hold for both askings

Behaviour as before: the probe's duration was handed in and never read; a warm node's hotness was worked out and thrown away at each readiness check, and each ring point walked was decayed; both ways of asking candidates set the same fields. A test found its cold node's id four thousand times.

--- a/src/main/java/spurroad/Balance.java
+++ b/src/main/java/spurroad/Balance.java
@@ -162,7 +162,7 @@
     }
 
     /** A probe was answered or failed. */
-    public void probed(long at, NodeId id, Outcome outcome, long tookNs, LoadReport load, Decisions into) {
+    public void probed(long at, NodeId id, Outcome outcome, LoadReport load, Decisions into) {
         begin(at, into);
         Node n = nodes.get(id);
         if (n != null) {
@@ -312,12 +312,7 @@
             // own figures say nothing of a node met once in half a minute (busy days at full size)
             q.blind = c.size() > 1 && given.tellsQueue() && !fresh(local) && q.execs.isEmpty()
                 && q.luck * PRESSED_MOST < pressed.ratio(now, PRIOR, 0);
-            if (q.blind) {
-                q.candidates = c;
-                ask(q, c.subList(0, 1));
-                return;
-            }
-            if (underLimit(local, q) || c.size() == 1 || !given.probes()) {
+            if (!q.blind && (underLimit(local, q) || c.size() == 1 || !given.probes())) {
                 if (!fresh(local) && !Double.isNaN(local.reported)) {
                     probe(local);
                 }
@@ -325,7 +320,7 @@
                 return;
             }
             q.candidates = c;
-            ask(q, c.subList(1, c.size()));
+            ask(q, q.blind ? c.subList(0, 1) : c.subList(1, c.size()));
         }
 
         private void ask(Qry q, List<Node> nodes) {
@@ -668,10 +663,10 @@
     private boolean hasRoomWhileCold(Node n, Qry q) {
         double warmth = (double) Math.max(0, now - n.entry.startedNs()) / Math.max(1, given.coldNs());
         // storms and hot keys, turned away elsewhere or asked again, pushed cold ones over (release)
-        double asked = Math.max(1, (n.asked.at(now).top - 1) / (arrivals.at(now).top * n.part));
         double carried = given.startCapacity() + (1 - given.startCapacity()) * warmth;
         return n.entry.startedNs() == 0 || warmth >= 1 || q.execs.isEmpty()
-            && q.luck * asked < carried * (1 - pressed.ratio(now, PRIOR, 0));
+            && q.luck * Math.max(1, (n.asked.at(now).top - 1) / (arrivals.at(now).top * n.part))
+            < carried * (1 - pressed.ratio(now, PRIOR, 0));
     }
 
     /** The first distinct nodes clockwise from the key; where none is ready, those that may be sent to. */
@@ -680,7 +675,9 @@
         List<Node> found = new ArrayList<>(CANDIDATES);
         for (int from = ring.from(q.point), i = 0; i < ring.size() && found.size() < CANDIDATES; i++) {
             Node n = ring.owner(from + i);
-            n.asked.add(now, i == 0 && onlyReady && q.execs.isEmpty() ? 1 : 0, 0);
+            if (i == 0 && onlyReady && q.execs.isEmpty()) {
+                n.asked.add(now, 1, 0);
+            }
             if (!found.contains(n) && (onlyReady ? ready(n, q) : hasRoomWhileCold(n, q) && maySend(q, n))) {
                 found.add(n);
             }
--- a/src/main/java/spurroad/wirehost/WireHost.java
+++ b/src/main/java/spurroad/wirehost/WireHost.java
@@ -199,9 +199,9 @@
             case CHECKED: {
                 NodeId node = node(f);
                 Outcome outcome = outcome(f);
-                long took = (f.getInt() & MAX_U32) * NS_PER_US;
+                f.getInt();
                 LoadReport load = load(f, host.columns);
-                return () -> to.probed(now, node, outcome, took, load, decisions);
+                return () -> to.probed(now, node, outcome, load, decisions);
             }
             case CLIENT_LEFT: {
                 QueryId query = new QueryId(f.getLong());
--- a/src/test/java/spurroad/BalanceTest.java
+++ b/src/test/java/spurroad/BalanceTest.java
@@ -330,12 +330,13 @@
     @Test
     public void aColdNodeOfAHotKeyGetsLessOfIt() {
         int cold = 0;
+        long home = candidates().get(0);
         for (int p = 0; p < 100; p++) {
             Rig rig = new Rig(false, DedupScope.ALL, p, false);
             rig.list(true, Rig.entries(8, false));
-            rig.list(false, List.of(Rig.entry(candidates().get(0), Phase.READY, rig.now)));
+            rig.list(false, List.of(Rig.entry(home, Phase.READY, rig.now)));
             for (long q = 1; q <= 20; q++) {
-                cold += rig.target(q, READ, KEY) == candidates().get(0) ? 1 : 0;
+                cold += rig.target(q, READ, KEY) == home ? 1 : 0;
                 rig.end(q, 0, Outcome.COMPLETED);
             }
         }
--- a/src/test/java/spurroad/Rig.java
+++ b/src/test/java/spurroad/Rig.java
@@ -39,7 +39,8 @@
             new Track(Effect.IDEMPOTENT, scope, 0, 1000 * MS, 0, 1, 0),
             new Track(Effect.DEDUPLICATED, scope, 800 * MS, 1000 * MS, 0, 5, 0),
             new Track(Effect.NON_IDEMPOTENT, scope, 0, 1000 * MS, 0, 5, 0)), List.of(5.0, 1000.0),
-            aside ? ORIGIN : null, true, true, true, 2000 * MS, 4, 0.3, 8000 * MS, 5 * MS, 10_000 * MS, 1, tellsQueue), seed);
+            aside ? ORIGIN : null, true, true, true, 2000 * MS, 4, 0.3, 8000 * MS, 5 * MS,
+            10_000 * MS, 1, tellsQueue), seed);
     }
 
     /** A rig that knows nodes 0 to count - 1 and, in aside mode, node 99 as the origin. */
@@ -100,8 +101,7 @@
 
     Decisions probed(long node, Outcome outcome, double inFlight) {
         decided.clear();
-        balance.probed(now, new NodeId(node), outcome, 2 * MS,
-            new LoadReport(inFlight, Double.NaN), decided);
+        balance.probed(now, new NodeId(node), outcome, new LoadReport(inFlight, Double.NaN), decided);
         return decided;
     }
 
