--- /dev/null
+++ b/src/main/java/spurroad/program/Main.java
@@ -0,0 +1,64 @@
+package spurroad.program;
+
+import java.io.BufferedInputStream;
+import java.io.DataInputStream;
+import java.io.IOException;
+import java.util.concurrent.CountDownLatch;
+import spurroad.start.FaultyKeyException;
+import spurroad.start.ProxyStart;
+import spurroad.wirehost.WireException;
+import spurroad.wirehost.WireHost;
+
+/** The command line. */
+public final class Main {
+    private static final String USAGE = "usage: spurroad serve | wirehost";
+    private static final int FAILED = 1, MISUSED = 2; // exit codes
+
+    private Main() { }
+
+    public static void main(String[] args) throws IOException, InterruptedException {
+        switch (args.length == 1 ? args[0] : "") {
+            case "serve" -> serve();
+            case "wirehost" -> wirehost();
+            default -> end(USAGE, MISUSED);
+        }
+    }
+
+    private static void end(String line, int code) {
+        System.err.println(line);
+        System.exit(code);
+    }
+
+    private static void serve() throws InterruptedException {
+        try {
+            ProxyStart start = ProxyStart.ofEnvironment(System.getenv());
+            try {
+                Service service = new Service(start);
+                Runtime.getRuntime().addShutdownHook(new Thread(() -> shutDown(service)));
+            } catch (IOException e) {
+                end("spurroad: can't listen at " + start.listen + ": " + e.getMessage(), FAILED);
+            }
+        } catch (FaultyKeyException e) {
+            end("spurroad: " + e.getMessage(), MISUSED);
+        }
+        new CountDownLatch(1).await(); // its threads serve until the process is told to end
+    }
+
+    private static void shutDown(Service service) {
+        try {
+            service.end();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+        Runtime.getRuntime().halt(0);
+    }
+
+    private static void wirehost() throws IOException {
+        try {
+            DataInputStream in = new DataInputStream(new BufferedInputStream(System.in, 1 << 16));
+            new WireHost(in, System.out).run();
+        } catch (WireException e) {
+            end("spurroad: " + e.getMessage(), FAILED);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/spurroad/program/Service.java
@@ -0,0 +1,57 @@
+package spurroad.program;
+
+import java.io.IOException;
+import spurroad.routing.Clients;
+import spurroad.routing.Decider;
+import spurroad.routing.ListWatch;
+import spurroad.start.ProxyStart;
+import spurroad.transport.Clock;
+import spurroad.transport.Descriptors;
+import spurroad.transport.EventLog;
+import spurroad.transport.Listener;
+import spurroad.transport.Threads;
+
+/** One real proxy: puts its parts together, and ends it in order. */
+public final class Service {
+    private static final long STILL_ACCEPT_MS = 500; // ms; new connections go on coming for up to 400 ms
+    private static final long LOOK_MS = 5; // ms; how often it is looked whether all clients are gone
+    private static final long LONGEST_END_MS = 5_000; // ms; longer than any client waits
+
+    private final EventLog log = new EventLog();
+    private final Listener listener;
+    private final Clients clients;
+
+    /** Starts it; it takes queries once this returns. */
+    public Service(ProxyStart start) throws IOException {
+        Threads threads = new Threads(log);
+        Clock clock = new Clock();
+        Descriptors descriptors = new Descriptors(start.sockets);
+        Decider decider = new Decider(start, threads, log, clock, descriptors);
+        clients = new Clients(start, threads, log, clock, decider, descriptors);
+        listener = new Listener(start.listen, descriptors, clients, log);
+        decider.follows(new ListWatch(start, threads, log, decider));
+        decider.listed(start.known);
+        threads.start("module", decider);
+        threads.start("listener", listener::run);
+        log.event("serving", start.name + " at " + start.listen + ", " + descriptors.leftForClients()
+            + " descriptors for clients and " + descriptors.leftForNodes() + " for nodes");
+    }
+
+    public int port() {
+        return listener.port();
+    }
+
+    /** Goes on accepting for a while, answers all that was taken, and returns when no client is left. */
+    public void end() throws InterruptedException {
+        log.event("ending", clients.count() + " clients connected");
+        Thread.sleep(STILL_ACCEPT_MS);
+        listener.end();
+        long until = System.nanoTime() + LONGEST_END_MS * 1_000_000;
+        clients.end();
+        while (clients.count() > 0 && System.nanoTime() < until) {
+            Thread.sleep(LOOK_MS);
+            clients.end();
+        }
+        log.event("ended", clients.count() + " clients left");
+    }
+}
--- /dev/null
+++ b/src/main/java/spurroad/protocol/Http.java
@@ -0,0 +1,214 @@
+package spurroad.protocol;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
+import java.util.HashMap;
+import java.util.Locale;
+import java.util.Map;
+import spurroad.model.CacheNote;
+import spurroad.model.LoadReport;
+import spurroad.model.Outcome;
+
+/** The part of HTTP/1.1 that the origin and discovery speak. */
+public final class Http {
+    private static final int MOST_HEAD_LINE = 8192; // bytes; the usual bound of servers
+    private static final int MOST_HEADERS = 100; // lines; the usual bound of servers
+    private static final int MOST_LIST_LINE = 4 * 1024 * 1024; // bytes; a list of ten thousand nodes
+    private static final String PLAIN = "-._~"; // besides letters and digits, what a path holds as it is
+
+    /** The first line and the headers of an answer, by their names in small letters. */
+    public record Head(int status, Map<String, String> headers) {
+        boolean chunked() {
+            return headers.getOrDefault("transfer-encoding", "").toLowerCase(Locale.ROOT).contains("chunked");
+        }
+
+        boolean more() {
+            return !headers.getOrDefault("connection", "").equalsIgnoreCase("close");
+        }
+    }
+
+    private Http() { }
+
+    public static byte[] get(String target, String host, Map<String, String> headers) {
+        return request("GET", target, host, headers, null);
+    }
+
+    /** The origin's form of a query: the id and the list of names and values go on as they came. */
+    public static byte[] forOrigin(MetaCommand c, String host) {
+        Map<String, String> headers = Map.of("X-Request-Id", c.id, "X-Extras", c.extras());
+        boolean write = c.kind == MetaCommand.Kind.WRITE;
+        return request(write ? "PUT" : "GET", "/" + encoded(c.key()), host, headers, write ? c.value : null);
+    }
+
+    private static byte[] request(String method, String target, String host, Map<String, String> headers,
+                                  byte[] body) {
+        StringBuilder head = new StringBuilder(method + " " + target + " HTTP/1.1\r\nHost: " + host + "\r\n");
+        headers.forEach((name, value) -> head.append(name).append(": ").append(value).append("\r\n"));
+        if (body != null) {
+            head.append("Content-Length: ").append(body.length).append("\r\n");
+        }
+        byte[] start = head.append("\r\n").toString().getBytes(StandardCharsets.ISO_8859_1);
+        byte[] whole = Arrays.copyOf(start, start.length + (body == null ? 0 : body.length));
+        if (body != null) {
+            System.arraycopy(body, 0, whole, start.length, body.length);
+        }
+        return whole;
+    }
+
+    private static String encoded(String key) {
+        StringBuilder path = new StringBuilder();
+        for (char c : key.toCharArray()) {
+            boolean plain = c < 128 && Character.isLetterOrDigit(c) || PLAIN.indexOf(c) >= 0;
+            path.append(plain ? String.valueOf(c) : String.format("%%%02X", (int) c));
+        }
+        return path.toString();
+    }
+
+    public static Head head(ByteSource in) throws IOException {
+        String line = need(in);
+        String[] first = line.split(" ", 3);
+        long status = first.length < 2 || !first[0].startsWith("HTTP/1.") ? -1 : Numbers.whole(first[1]);
+        if (status < 100 || status > 999) {
+            throw new ProtocolException("no HTTP answer");
+        }
+        Map<String, String> headers = new HashMap<>();
+        for (int i = 0; i < MOST_HEADERS; i++) {
+            String header = need(in);
+            if (header.isEmpty()) {
+                return new Head((int) status, headers);
+            }
+            int cut = header.indexOf(':');
+            if (cut <= 0) {
+                throw new ProtocolException("a header without a name");
+            }
+            headers.put(header.substring(0, cut).toLowerCase(Locale.ROOT), header.substring(cut + 1).strip());
+        }
+        throw new ProtocolException("too many headers");
+    }
+
+    /** Reads what the origin says to the query. */
+    public static Reply read(ByteSource in, MetaCommand query) throws IOException {
+        Head head = head(in);
+        byte[] body = body(in, head);
+        LoadReport load = Pairs.load(Pairs.read(head.headers.getOrDefault("x-load", "")));
+        boolean notRun = (head.status == 503 || head.status == 504)
+            && "1".equals(head.headers.get("x-not-run"));
+        Outcome outcome = head.status == 200 ? Outcome.COMPLETED : notRun ? Outcome.TURNED_AWAY : Outcome.ERROR;
+        byte[] answer = null;
+        if (outcome == Outcome.COMPLETED && query != null) {
+            answer = query.kind == MetaCommand.Kind.READ ? MetaReply.value(body, query.id)
+                : MetaReply.receipt(query.id, new String(body, StandardCharsets.ISO_8859_1).strip());
+        }
+        return new Reply(outcome, CacheNote.NONE, load, answer, head.more());
+    }
+
+    /** Reads what the origin says to a probe: its report stands in a header or is the body. */
+    public static Reply readProbe(ByteSource in) throws IOException {
+        return read(in, null);
+    }
+
+    private static byte[] body(ByteSource in, Head head) throws IOException {
+        if (!head.chunked()) {
+            long length = Numbers.whole(head.headers.getOrDefault("content-length", "0"));
+            return exactly(in, length);
+        }
+        byte[] body = {};
+        for (long size = chunk(in); size > 0; size = chunk(in)) {
+            byte[] part = exactly(in, size);
+            in.lineEnd();
+            if (body.length + part.length > MetaCommand.MOST_VALUE) {
+                throw new ProtocolException("a body of impossible length");
+            }
+            int before = body.length;
+            body = Arrays.copyOf(body, before + part.length);
+            System.arraycopy(part, 0, body, before, part.length);
+        }
+        for (int i = 0; !need(in).isEmpty(); i++) {
+            if (i > MOST_HEADERS) {
+                throw new ProtocolException("too many headers");
+            }
+        }
+        return body;
+    }
+
+    private static byte[] exactly(ByteSource in, long length) throws IOException {
+        if (length < 0 || length > MetaCommand.MOST_VALUE) {
+            throw new ProtocolException("a body of impossible length");
+        }
+        byte[] body = new byte[(int) length];
+        in.bytes(body, 0, body.length);
+        return body;
+    }
+
+    private static long chunk(ByteSource in) throws IOException {
+        String size = need(in).split(";", 2)[0].strip();
+        try {
+            long n = Long.parseLong(size, 16);
+            if (n >= 0 && n <= MOST_LIST_LINE) {
+                return n;
+            }
+        } catch (NumberFormatException e) {
+            // told below
+        }
+        throw new ProtocolException("a chunk of impossible length");
+    }
+
+    private static String need(ByteSource in) throws IOException {
+        String line = in.line(MOST_HEAD_LINE);
+        if (line == null) {
+            throw new ProtocolException("the stream ended");
+        }
+        return line;
+    }
+
+    /** The body of an answer that goes on: a stream in which lines can run over the chunks. */
+    public static ByteSource stream(ByteSource in, Head head) {
+        return new ByteSource(new Body(in, head.chunked()));
+    }
+
+    /** The next line of a stream of lists; null at its end. */
+    public static String listLine(ByteSource stream) throws IOException {
+        return stream.line(MOST_LIST_LINE);
+    }
+
+    private static final class Body extends InputStream {
+        private final ByteSource in;
+        private final boolean chunked;
+        private long left;
+        private boolean ended;
+
+        private Body(ByteSource in, boolean chunked) {
+            this.in = in;
+            this.chunked = chunked;
+        }
+
+        @Override
+        public int read() throws IOException {
+            byte[] one = new byte[1];
+            return read(one, 0, 1) < 0 ? -1 : one[0] & 0xff;
+        }
+
+        @Override
+        public int read(byte[] into, int at, int most) throws IOException {
+            if (!chunked) {
+                return in.some(into, at, most);
+            }
+            if (!ended && left == 0) {
+                left = chunk(in);
+                ended = left == 0;
+            }
+            if (ended) {
+                return -1;
+            }
+            int n = (int) Math.min(left, most);
+            in.bytes(into, at, n);
+            left -= n;
+            if (left == 0) {
+                in.lineEnd();
+            }
+            return n;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/spurroad/protocol/Members.java
@@ -0,0 +1,99 @@
+package spurroad.protocol;
+
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import spurroad.model.CellId;
+import spurroad.model.KindId;
+import spurroad.model.NodeEntry;
+import spurroad.model.NodeId;
+import spurroad.model.Phase;
+import spurroad.model.ZoneId;
+
+/** Discovery's list, whole or as changes. */
+public record Members(long revision, boolean whole, List<Member> members) {
+    /** One entry, with where this proxy reaches it. */
+    public record Member(NodeEntry entry, InetSocketAddress endpoint) { }
+
+    /** The names that become numbers, by their places, and whether sizes count. */
+    public record Names(List<String> kinds, List<String> zones, boolean weighted) { }
+
+    private static final long NS_PER_MS = 1_000_000L;
+    private static final long FNV_START = 0xcbf29ce484222325L; // FNV-1a of 64 bits
+    private static final long FNV_TIMES = 0x100000001b3L;
+    private static final int OTHERS = 1 << 16; // numbers from here on stand for names that are not in the figures
+
+    public static Members read(Object json, Names names) throws ProtocolException {
+        if (!(json instanceof Map<?, ?> list) || !(list.get("targets") instanceof List<?> targets)) {
+            throw new ProtocolException("a list without targets");
+        }
+        List<Member> members = new ArrayList<>();
+        for (Object target : targets) {
+            if (!(target instanceof Map<?, ?> entry)) {
+                throw new ProtocolException("targets holds what is no entry");
+            }
+            members.add(member(entry, names));
+        }
+        return new Members((long) number(list, "rev", 0), Boolean.TRUE.equals(list.get("all")), members);
+    }
+
+    private static Member member(Map<?, ?> entry, Names names) throws ProtocolException {
+        Phase phase = switch (word(entry, "state")) {
+            case "active" -> Phase.READY;
+            case "left" -> Phase.GONE;
+            default -> Phase.DRAINING;
+        };
+        double size = number(entry, "capacity_hint", 1);
+        long started = (long) Math.max(0, number(entry, "boot_ms", 0)) * NS_PER_MS;
+        return new Member(new NodeEntry(new NodeId(hash(word(entry, "uid"))),
+            new KindId(place(names.kinds, word(entry, "model"))), new ZoneId(place(names.zones, word(entry, "az"))),
+            new CellId((int) number(entry, "pod_group", 0)), started,
+            names.weighted && size > 0 && size < Float.MAX_VALUE ? size : 1, phase),
+            endpoint(word(entry, "endpoint")));
+    }
+
+    /** An address and a port, without asking anybody for a name. */
+    public static InetSocketAddress endpoint(String text) throws ProtocolException {
+        int cut = text.lastIndexOf(':');
+        long port = cut < 0 ? -1 : Numbers.whole(text.substring(cut + 1));
+        String host = cut < 0 ? "" : text.substring(0, cut);
+        if (port < 0 || port > 65535 || !host.matches("[0-9.]+|\\[[0-9a-fA-F:.]+\\]")) {
+            throw new ProtocolException(text + " is no address and port");
+        }
+        return new InetSocketAddress(host, (int) port);
+    }
+
+    private static int place(List<String> names, String name) {
+        int at = names.indexOf(name);
+        return at >= 0 ? at : OTHERS + (int) (hash(name) & 0xffff);
+    }
+
+    /** A number for a text, the same in every proxy. */
+    public static long hash(String text) {
+        long hash = FNV_START;
+        for (byte b : text.getBytes(StandardCharsets.UTF_8)) {
+            hash = (hash ^ b & 0xff) * FNV_TIMES;
+        }
+        return hash;
+    }
+
+    private static String word(Map<?, ?> entry, String name) throws ProtocolException {
+        if (entry.get(name) instanceof String text) {
+            return text;
+        }
+        throw new ProtocolException("an entry without " + name);
+    }
+
+    private static double number(Map<?, ?> entry, String name, double otherwise) throws ProtocolException {
+        Object value = entry.get(name);
+        if (value == null) {
+            return otherwise;
+        }
+        if (value instanceof Double number) {
+            return number;
+        }
+        throw new ProtocolException(name + " is not a number");
+    }
+}
--- /dev/null
+++ b/src/main/java/spurroad/protocol/MetaCommand.java
@@ -0,0 +1,140 @@
+package spurroad.protocol;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+
+/**
+ * One command of a client: a query with the tokens of its line and its value as they came, `mn`, or a fault to be
+ * answered with a line.
+ */
+public final class MetaCommand {
+    public enum Kind { READ, WRITE, READY, FAULT }
+
+    public static final int MOST_VALUE = 64 * 1024; // bytes; the protocol's
+    static final int MOST_LINE = 2048; // bytes; several times what a command with all its figures takes
+    private static final int MOST_KEY = 250; // bytes; memcache's
+    private static final byte[] NO_VALUE = {};
+
+    public final Kind kind;
+    /** The answer to a fault. */
+    public final String fault;
+    /** Whether nothing after a fault can be told apart. */
+    public final boolean lost;
+    private final String[] tokens;
+    private final int extrasAt;
+    public final byte[] value;
+    public final String id;
+
+    private MetaCommand(Kind kind, String fault, boolean lost, String[] tokens, byte[] value) {
+        this.kind = kind;
+        this.fault = fault;
+        this.lost = lost;
+        this.tokens = tokens;
+        this.value = value;
+        extrasAt = flag(tokens, 'P');
+        int idAt = flag(tokens, 'O');
+        id = idAt < 0 ? "" : tokens[idAt].substring(1);
+    }
+
+    private static MetaCommand fault(String answer, boolean lost) {
+        return new MetaCommand(Kind.FAULT, answer, lost, new String[0], NO_VALUE);
+    }
+
+    /** The next command; null at the end of the stream between two commands. */
+    public static MetaCommand read(ByteSource in) throws IOException {
+        String line;
+        try {
+            line = in.line(MOST_LINE);
+        } catch (ProtocolException e) {
+            return fault("CLIENT_ERROR line too long", true);
+        }
+        if (line == null) {
+            return null;
+        }
+        String[] tokens = line.split(" ");
+        switch (tokens.length == 0 ? "" : tokens[0]) {
+            case "mn":
+                return new MetaCommand(Kind.READY, null, false, tokens, NO_VALUE);
+            case "mg":
+                return query(Kind.READ, tokens, NO_VALUE);
+            case "ms":
+                long length = tokens.length < 3 ? -1 : Numbers.whole(tokens[2]);
+                if (length < 0 || length > MOST_VALUE) {
+                    return fault("CLIENT_ERROR bad length", true);
+                }
+                byte[] value = new byte[(int) length];
+                in.bytes(value, 0, value.length);
+                try {
+                    in.lineEnd();
+                } catch (ProtocolException e) {
+                    return fault("CLIENT_ERROR bad data chunk", true);
+                }
+                return query(Kind.WRITE, tokens, value);
+            default:
+                return fault("ERROR", false);
+        }
+    }
+
+    private static MetaCommand query(Kind kind, String[] tokens, byte[] value) {
+        MetaCommand c = new MetaCommand(kind, null, false, tokens, value);
+        if (tokens.length < 2 || tokens[1].isEmpty() || tokens[1].length() > MOST_KEY) {
+            return fault("CLIENT_ERROR bad key", false);
+        }
+        if (c.id.isEmpty()) {
+            return fault("CLIENT_ERROR no request id", false);
+        }
+        if (c.waitMs() <= 0) {
+            return fault("CLIENT_ERROR no time to wait", false);
+        }
+        return c;
+    }
+
+    private static int flag(String[] tokens, char letter) {
+        for (int i = 2; i < tokens.length; i++) {
+            if (!tokens[i].isEmpty() && tokens[i].charAt(0) == letter) {
+                return i;
+            }
+        }
+        return -1;
+    }
+
+    public String key() {
+        return tokens[1];
+    }
+
+    /** The list of names and values as it came. */
+    public String extras() {
+        return extrasAt < 0 ? "" : tokens[extrasAt].substring(1);
+    }
+
+    public Map<String, String> pairs() {
+        return Pairs.read(extras());
+    }
+
+    /** How long the client waits, in milliseconds; -1 where it does not say. */
+    public long waitMs() {
+        return Numbers.whole(pairs().get("d"));
+    }
+
+    /** The client's guess at the work, in microseconds; zero where there is none. */
+    public long hintUs() {
+        return Math.max(0, Numbers.whole(pairs().get("h")));
+    }
+
+    /** The command for a cache node: as it came, but for how long the proxy will wait. */
+    public byte[] forNode(long waitMs) {
+        String[] line = tokens.clone();
+        line[extrasAt] = "P" + Pairs.with(extras(), "d", Long.toString(waitMs));
+        byte[] head = (String.join(" ", line) + "\r\n").getBytes(StandardCharsets.ISO_8859_1);
+        if (kind == Kind.READ) {
+            return head;
+        }
+        byte[] whole = new byte[head.length + value.length + 2];
+        System.arraycopy(head, 0, whole, 0, head.length);
+        System.arraycopy(value, 0, whole, head.length, value.length);
+        whole[whole.length - 2] = '\r';
+        whole[whole.length - 1] = '\n';
+        return whole;
+    }
+}
--- /dev/null
+++ b/src/main/java/spurroad/protocol/MetaReply.java
@@ -0,0 +1,143 @@
+package spurroad.protocol;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import spurroad.model.CacheNote;
+import spurroad.model.LoadReport;
+import spurroad.model.Outcome;
+
+/** The meta commands' answers: those of cache nodes read, those to clients written. */
+public final class MetaReply {
+    private static final int MOST_STATS = 64; // lines; a report has four fields at most
+    private static final byte[] PROBE = "stats load\r\n".getBytes(StandardCharsets.ISO_8859_1);
+
+    private MetaReply() { }
+
+    /** Reads what a node says to the query with the id; an answer to another query can't be used. */
+    public static Reply read(ByteSource in, String id) throws IOException {
+        String line = need(in);
+        String[] tokens = line.split(" ");
+        LoadReport load = load(tokens);
+        CacheNote note = note(tokens);
+        switch (tokens[0]) {
+            case "VA":
+                long length = tokens.length < 2 ? -1 : Numbers.whole(tokens[1]);
+                if (length < 0 || length > MetaCommand.MOST_VALUE) {
+                    throw new ProtocolException("a value of impossible length");
+                }
+                byte[] answer = valueHead((int) length, id);
+                in.bytes(answer, answer.length - 2 - (int) length, (int) length);
+                in.lineEnd();
+                sameId(tokens, id);
+                return new Reply(Outcome.COMPLETED, note, load, answer, true);
+            case "HD":
+                sameId(tokens, id);
+                return new Reply(Outcome.COMPLETED, note, load, receipt(id, flag(tokens, 'c')), true);
+            case "EN":
+                sameId(tokens, id);
+                return new Reply(Outcome.MISS, note, load, null, true);
+            case "SERVER_ERROR":
+                boolean busy = tokens.length > 1 && tokens[1].equals("busy");
+                return new Reply(busy ? Outcome.TURNED_AWAY : Outcome.ERROR, note, load, null, true);
+            default:
+                throw new ProtocolException("answered " + line);
+        }
+    }
+
+    /** Reads what a node says to a probe. */
+    public static Reply readProbe(ByteSource in) throws IOException {
+        Map<String, String> report = new LinkedHashMap<>();
+        for (int i = 0; i < MOST_STATS; i++) {
+            String[] tokens = need(in).split(" ");
+            if (tokens[0].equals("STAT") && tokens.length > 2) {
+                report.put(tokens[1], tokens[2]);
+            } else if (tokens[0].equals("END")) {
+                return new Reply(Outcome.COMPLETED, CacheNote.NONE, Pairs.load(report), null, true);
+            } else {
+                return new Reply(Outcome.ERROR, CacheNote.NONE, LoadReport.NONE, null, true);
+            }
+        }
+        throw new ProtocolException("an endless report");
+    }
+
+    public static byte[] probe() {
+        return PROBE;
+    }
+
+    private static String need(ByteSource in) throws IOException {
+        String line = in.line(MetaCommand.MOST_LINE);
+        if (line == null) {
+            throw new ProtocolException("the stream ended");
+        }
+        return line;
+    }
+
+    private static void sameId(String[] tokens, String id) throws ProtocolException {
+        if (!id.equals(flag(tokens, 'O'))) {
+            throw new ProtocolException("an answer for another query");
+        }
+    }
+
+    private static String flag(String[] tokens, char letter) {
+        for (int i = 1; i < tokens.length; i++) {
+            if (!tokens[i].isEmpty() && tokens[i].charAt(0) == letter) {
+                return tokens[i].substring(1);
+            }
+        }
+        return "";
+    }
+
+    private static LoadReport load(String[] tokens) {
+        String last = tokens[tokens.length - 1];
+        return last.startsWith("L") ? Pairs.load(Pairs.read(last.substring(1))) : LoadReport.NONE;
+    }
+
+    private static CacheNote note(String[] tokens) {
+        return switch (flag(tokens, 'h')) {
+            case "1" -> CacheNote.HIT;
+            case "0" -> Arrays.asList(tokens).contains("Z") ? CacheNote.FETCH_OUT : CacheNote.MISS;
+            default -> CacheNote.NONE;
+        };
+    }
+
+    /** The message that gives a client a value. */
+    public static byte[] value(byte[] value, String id) {
+        byte[] answer = valueHead(value.length, id);
+        System.arraycopy(value, 0, answer, answer.length - 2 - value.length, value.length);
+        return answer;
+    }
+
+    private static byte[] valueHead(int length, String id) {
+        byte[] head = text("VA " + length + " O" + id);
+        byte[] answer = Arrays.copyOf(head, head.length + length + 2);
+        answer[answer.length - 2] = '\r';
+        answer[answer.length - 1] = '\n';
+        return answer;
+    }
+
+    /** The message that gives a client the receipt of its write. */
+    public static byte[] receipt(String id, String receipt) {
+        return text("HD O" + id + " c" + receipt);
+    }
+
+    /** The message that turns a client away; it may come back after the time, where one is given. */
+    public static byte[] rejected(long comeBackMs) {
+        return text(comeBackMs > 0 ? "SERVER_ERROR busy " + comeBackMs : "SERVER_ERROR busy");
+    }
+
+    public static byte[] aborted() {
+        return text("SERVER_ERROR failed");
+    }
+
+    public static byte[] ready() {
+        return text("MN");
+    }
+
+    /** A line as it goes out. */
+    public static byte[] text(String line) {
+        return (line + "\r\n").getBytes(StandardCharsets.ISO_8859_1);
+    }
+}
--- /dev/null
+++ b/src/main/java/spurroad/protocol/Numbers.java
@@ -0,0 +1,31 @@
+package spurroad.protocol;
+
+/** Numbers in text, read without exceptions: what is none, or too large, is -1 or NaN. */
+final class Numbers {
+    private static final int MOST_DIGITS = 15; // digits; more never occur, and a double holds these exactly
+
+    private Numbers() { }
+
+    static long whole(String text) {
+        if (text == null || text.isEmpty() || text.length() > MOST_DIGITS) {
+            return -1;
+        }
+        long value = 0;
+        for (int i = 0; i < text.length(); i++) {
+            int digit = text.charAt(i) - '0';
+            if (digit < 0 || digit > 9) {
+                return -1;
+            }
+            value = 10 * value + digit;
+        }
+        return value;
+    }
+
+    static double decimal(String text) {
+        try {
+            return Double.parseDouble(text);
+        } catch (NumberFormatException e) {
+            return Double.NaN;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/spurroad/protocol/Pairs.java
@@ -0,0 +1,42 @@
+package spurroad.protocol;
+
+import java.util.LinkedHashMap;
+import java.util.Map;
+import spurroad.model.LoadReport;
+
+/** Lists of names and values, as in `inflight=7,queue=2`. */
+public final class Pairs {
+    private Pairs() { }
+
+    public static Map<String, String> read(String text) {
+        Map<String, String> pairs = new LinkedHashMap<>();
+        for (String pair : text.split(",")) {
+            int cut = pair.indexOf('=');
+            if (cut > 0) {
+                pairs.put(pair.substring(0, cut).strip(), pair.substring(cut + 1).strip());
+            }
+        }
+        return pairs;
+    }
+
+    /** The list with another value for a name that it holds; the rest stays as it came. */
+    public static String with(String text, String name, String value) {
+        String[] pairs = text.split(",", -1);
+        for (int i = 0; i < pairs.length; i++) {
+            if (pairs[i].startsWith(name + "=")) {
+                pairs[i] = name + "=" + value;
+            }
+        }
+        return String.join(",", pairs);
+    }
+
+    /** What a load report tells of a queue, under the protocol's names or those of the start figures. */
+    public static LoadReport load(Map<String, String> report) {
+        return new LoadReport(figure(report, "inflight", "rif"), figure(report, "queue", "q"));
+    }
+
+    private static double figure(Map<String, String> report, String name, String otherName) {
+        String text = report.getOrDefault(name, report.get(otherName));
+        return text == null ? Double.NaN : Numbers.decimal(text);
+    }
+}
--- /dev/null
+++ b/src/main/java/spurroad/protocol/ProtocolException.java
@@ -0,0 +1,12 @@
+package spurroad.protocol;
+
+import java.io.IOException;
+
+/** Bytes that are not of the protocol; the connection that they came on can't be read any further. */
+public final class ProtocolException extends IOException {
+    private static final long serialVersionUID = 1L;
+
+    public ProtocolException(String message) {
+        super(message);
+    }
+}
--- /dev/null
+++ b/src/main/java/spurroad/routing/ClientConnection.java
@@ -0,0 +1,208 @@
+package spurroad.routing;
+
+import java.io.IOException;
+import java.io.OutputStream;
+import java.net.Socket;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.concurrent.Semaphore;
+import java.util.concurrent.atomic.AtomicInteger;
+import spurroad.model.CustomerId;
+import spurroad.model.TrackId;
+import spurroad.protocol.ByteSource;
+import spurroad.protocol.MetaCommand;
+import spurroad.protocol.MetaReply;
+import spurroad.transport.Actor;
+import spurroad.transport.Sockets;
+import spurroad.transport.Threads;
+
+/**
+ * One connection of a client. Its reader thread reads commands for as long as it lasts, closes the socket for good and
+ * gives its place back; the actor keeps the answers in order and has them written by a thread that may wait for a
+ * slow client.
+ */
+final class ClientConnection extends Actor implements Runnable {
+    private static final int MOST_WAITING = 32; // commands; read ahead of their answers
+    private static final int MAILBOX = 8 * MOST_WAITING; // messages; some for each command
+    private static final long SLOW_NS = 10_000_000_000L; // ns; a client that takes nothing so long is gone
+
+    /** The place of one command's answer in the order of answers. */
+    private static final class Slot {
+        private Query query;
+        private long room;
+        private byte[] answer;
+        private boolean last;
+    }
+
+    private final Clients clients;
+    private final Socket socket;
+    private final Semaphore ahead = new Semaphore(MOST_WAITING);
+    // commands begun and not yet answered whole; below zero once closed between two of them
+    private final AtomicInteger open = new AtomicInteger();
+    volatile long idleSince;
+    // the actor's
+    private final Deque<Slot> slots = new ArrayDeque<>();
+    private boolean writing, closed;
+
+    ClientConnection(Clients clients, Socket socket) {
+        super(clients.threads, clients.log, MAILBOX);
+        this.clients = clients;
+        this.socket = socket;
+        idleSince = clients.clock.now();
+    }
+
+    @Override
+    public String toString() {
+        return "client " + socket.getRemoteSocketAddress();
+    }
+
+    // ---- the reader thread
+
+    @Override
+    public void run() {
+        try {
+            ByteSource in = new ByteSource(Sockets.set(socket).getInputStream());
+            boolean lost = false;
+            while (in.await() && (lost || open.getAndUpdate(n -> n < 0 ? n : n + 1) >= 0)) {
+                MetaCommand command = MetaCommand.read(in);
+                long at = clients.clock.now();
+                if (!lost) {
+                    ahead.acquire();
+                    tell(() -> taken(command, at));
+                }
+                lost |= command.lost;
+            }
+        } catch (IOException | InterruptedException e) {
+            // a client that goes breaks its connection; told below
+        } finally {
+            tell(this::left);
+            Sockets.close(socket);
+            clients.ended(this);
+        }
+    }
+
+    // ---- the actor
+
+    private void taken(MetaCommand command, long at) {
+        if (closed) {
+            return;
+        }
+        Slot slot = new Slot();
+        slots.add(slot);
+        switch (command.kind) {
+            case READY -> slot.answer = MetaReply.ready();
+            case FAULT -> {
+                clients.log.trouble("a client's command can't be used", this + ", " + command.fault);
+                slot.answer = MetaReply.text(command.fault);
+                slot.last = command.lost;
+            }
+            default -> query(slot, command, at);
+        }
+        flush();
+    }
+
+    private void query(Slot slot, MetaCommand command, long at) {
+        var pairs = command.pairs();
+        int track = clients.start.figures.tracks.indexOf(pairs.getOrDefault("c", ""));
+        int customer = clients.start.figures.customers.indexOf(pairs.getOrDefault("t", ""));
+        if (track < 0 || customer < 0 && pairs.containsKey("t") && !clients.start.figures.customers.isEmpty()) {
+            clients.log.trouble("a client's command can't be used", this + ", " + command.extras());
+            slot.answer = MetaReply.text("CLIENT_ERROR unknown " + (track < 0 ? "class" : "tenant"));
+        } else if (!clients.room.take(Clients.QUERY_BYTES + command.value.length)) {
+            clients.log.trouble("no room for a query", this);
+            slot.answer = MetaReply.rejected(0);
+        } else {
+            slot.room = Clients.QUERY_BYTES + command.value.length;
+            slot.query = new Query(this, command, new TrackId(track), new CustomerId(customer), at);
+            clients.decider.arrived(slot.query);
+        }
+    }
+
+    /** Told by the decider: the one final answer of a query. */
+    void answer(Query q, byte[] answer) {
+        tell(() -> {
+            for (Slot slot : slots) {
+                if (slot.query == q) {
+                    slot.answer = answer;
+                }
+            }
+            flush();
+        });
+    }
+
+    private void flush() {
+        List<Slot> ready = new ArrayList<>(2);
+        while (!writing && !closed && !slots.isEmpty() && slots.peek().answer != null) {
+            ready.add(slots.poll());
+        }
+        if (!ready.isEmpty()) {
+            writing = true;
+            Threads.Alarm slow = clients.threads.after(SLOW_NS, () -> Sockets.close(socket));
+            clients.threads.run(() -> write(ready, slow));
+        }
+    }
+
+    /** On a thread that may wait; a client that can't be written to has its reader end, too. */
+    private void write(List<Slot> ready, Threads.Alarm slow) {
+        try {
+            OutputStream out = socket.getOutputStream();
+            for (Slot slot : ready) {
+                out.write(slot.answer);
+            }
+        } catch (IOException e) {
+            Sockets.close(socket);
+        }
+        slow.cancel();
+        tell(() -> written(ready));
+    }
+
+    private void written(List<Slot> ready) {
+        writing = false;
+        ready.forEach(this::giveRoom);
+        ahead.release(ready.size());
+        idleSince = clients.clock.now();
+        if (ready.get(ready.size() - 1).last) {
+            close();
+        } else if (open.addAndGet(-ready.size()) == 0 && clients.ending()) {
+            closeIfIdle();
+        }
+        flush();
+    }
+
+    private void giveRoom(Slot slot) {
+        clients.room.give(slot.room);
+        slot.room = 0;
+    }
+
+    private void left() {
+        for (Slot slot : slots) {
+            if (slot.query != null && slot.answer == null) {
+                clients.decider.left(slot.query);
+            }
+        }
+        close();
+    }
+
+    private void close() {
+        closed = true;
+        slots.forEach(this::giveRoom);
+        slots.clear();
+        Sockets.close(socket);
+        ahead.release(MOST_WAITING);
+    }
+
+    boolean idle() {
+        return open.get() == 0;
+    }
+
+    /** Closes it between two commands, from any thread; one that the reader has begun keeps it open. */
+    boolean closeIfIdle() {
+        boolean done = open.compareAndSet(0, Integer.MIN_VALUE / 2);
+        if (done) {
+            Sockets.close(socket);
+        }
+        return done;
+    }
+}
--- /dev/null
+++ b/src/main/java/spurroad/routing/Clients.java
@@ -0,0 +1,82 @@
+package spurroad.routing;
+
+import java.net.Socket;
+import java.util.Comparator;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import spurroad.start.ProxyStart;
+import spurroad.transport.Clock;
+import spurroad.transport.Descriptors;
+import spurroad.transport.EventLog;
+import spurroad.transport.Listener;
+import spurroad.transport.Room;
+import spurroad.transport.Sockets;
+import spurroad.transport.Threads;
+
+/** All connections of clients, and what they share. */
+public final class Clients implements Listener.Door {
+    static final int QUERY_BYTES = 8192; // bytes; what a query without a value holds on its way, with room
+    private static final int ROOM_SHARE = 8; // one part in so many of the memory is for queries under way
+    private static final long MIB = 1 << 20;
+
+    final ProxyStart start;
+    final Threads threads;
+    final EventLog log;
+    final Clock clock;
+    final Decider decider;
+    final Room room;
+    private final Descriptors descriptors;
+    private final Set<ClientConnection> connections = ConcurrentHashMap.newKeySet();
+    private volatile boolean ending;
+
+    public Clients(ProxyStart start, Threads threads, EventLog log, Clock clock, Decider decider,
+                   Descriptors descriptors) {
+        this.start = start;
+        this.threads = threads;
+        this.log = log;
+        this.clock = clock;
+        this.decider = decider;
+        this.descriptors = descriptors;
+        room = new Room(Math.min(start.memoryMb * MIB / ROOM_SHARE, (long) start.figures.mostOpen * QUERY_BYTES));
+    }
+
+    @Override
+    public void accepted(Socket s) {
+        ClientConnection c = new ClientConnection(this, s);
+        connections.add(c);
+        try {
+            threads.start("client", c);
+        } catch (OutOfMemoryError e) {
+            log.trouble("no thread for a client", e.getMessage());
+            Sockets.close(s);
+            ended(c);
+        }
+    }
+
+    /** Closes the connection that has been idle the longest, if there is one. */
+    @Override
+    public void placesNeeded() {
+        log.trouble("no descriptor left for clients", connections.size() + " connected");
+        connections.stream().filter(ClientConnection::idle)
+            .min(Comparator.comparingLong(c -> c.idleSince)).ifPresent(ClientConnection::closeIfIdle);
+    }
+
+    void ended(ClientConnection c) {
+        connections.remove(c);
+        descriptors.giveFromClient();
+    }
+
+    boolean ending() {
+        return ending;
+    }
+
+    /** Closes connections between two commands from now on; answers go out first. */
+    public void end() {
+        ending = true;
+        connections.forEach(ClientConnection::closeIfIdle);
+    }
+
+    public int count() {
+        return connections.size();
+    }
+}
--- /dev/null
+++ b/src/main/java/spurroad/routing/Decider.java
@@ -0,0 +1,250 @@
+package spurroad.routing;
+
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import spurroad.Balance;
+import spurroad.model.CacheKey;
+import spurroad.model.Decisions;
+import spurroad.model.LoadReport;
+import spurroad.model.NodeId;
+import spurroad.model.Outcome;
+import spurroad.model.Phase;
+import spurroad.model.QueryId;
+import spurroad.protocol.Members;
+import spurroad.protocol.Members.Member;
+import spurroad.protocol.MetaCommand;
+import spurroad.protocol.MetaReply;
+import spurroad.protocol.Reply;
+import spurroad.start.ProxyStart;
+import spurroad.transport.Clock;
+import spurroad.transport.Descriptors;
+import spurroad.transport.EventLog;
+import spurroad.transport.Mailbox;
+import spurroad.transport.Threads;
+
+/**
+ * The module's actor: the one thread that calls {@link Balance}, with what its mailbox brings and the time it is then,
+ * and passes on what was decided. It owns the queries and knows the node actors.
+ */
+public final class Decider implements Runnable {
+    /** Asked to follow the list when the module wants it. */
+    public interface Follow {
+        void follow();
+    }
+
+    private static final int MAILBOX = 1 << 16; // messages; a dozen for each query that there is room for
+    private static final long NS_PER_MS = 1_000_000L, NS_PER_US = 1_000L;
+    private static final int MODULE_FAILED = 70; // exit code; the usual one for a fault of the program itself
+
+    private final Balance balance;
+    private final Decisions decisions = new Decisions();
+    private final Mailbox mailbox = new Mailbox(MAILBOX);
+    private final ProxyStart start;
+    private final Clock clock;
+    private final EventLog log;
+    private final NodeActor.Surroundings around;
+    private final Map<NodeId, NodeActor> nodes = new HashMap<>();
+    private final Map<QueryId, Query> queries = new HashMap<>();
+    private Follow follow;
+    private long queryCount, wakeNs = Long.MAX_VALUE;
+
+    public Decider(ProxyStart start, Threads threads, EventLog log, Clock clock, Descriptors descriptors) {
+        this.start = start;
+        this.clock = clock;
+        this.log = log;
+        balance = new Balance(start.figures.deployment, start.seed);
+        around = new NodeActor.Surroundings(threads, log, clock, descriptors, start.figures.connectNs,
+            start.figures.deployment.idleNs(), () -> mailbox.tell(this::closeIdleEverywhere),
+            (e, reply) -> mailbox.tell(() -> ended(e, reply)));
+    }
+
+    /** To be called before the thread starts. */
+    public void follows(Follow list) {
+        follow = list;
+    }
+
+    @Override
+    public void run() {
+        try {
+            while (true) {
+                Runnable message = mailbox.await(wakeNs - clock.now());
+                if (message == null) {
+                    message = () -> {
+                        balance.reached(clock.now(), fresh());
+                        carryOut();
+                    };
+                }
+                message.run();
+            }
+        } catch (RuntimeException | InterruptedException e) {
+            log.trouble("the module failed, the proxy ends", e + " at " + e.getStackTrace()[0]);
+            Runtime.getRuntime().halt(MODULE_FAILED);
+        }
+    }
+
+    // ---- told by clients
+
+    void arrived(Query q) {
+        mailbox.tell(() -> {
+            q.id = new QueryId(queryCount++);
+            queries.put(q.id, q);
+            long now = clock.now();
+            MetaCommand c = q.command;
+            // the answer's way back counts too: it is to leave a tick before the client's time is over
+            long budget = c.waitMs() * NS_PER_MS - (now - q.takenAt) - start.figures.deployment.tickNs();
+            balance.arrived(now, q.id, q.track, q.customer, new CacheKey(key(c.key())),
+                c.kind == MetaCommand.Kind.WRITE, c.hintUs() * NS_PER_US, Math.max(0, budget), fresh());
+            carryOut();
+        });
+    }
+
+    /** A number for a key, never zero, which would mean none. */
+    private static long key(String key) {
+        long hash = Members.hash(key);
+        return hash == 0 ? 1 : hash;
+    }
+
+    void left(Query q) {
+        mailbox.tell(() -> {
+            if (!q.over) {
+                q.over = true;
+                balance.left(clock.now(), q.id, fresh());
+                carryOut();
+                forget(q);
+            }
+        });
+    }
+
+    // ---- told by nodes
+
+    private void ended(Errand e, Reply reply) {
+        Query q = e.query;
+        if (q == null) {
+            balance.probed(clock.now(), e.node.id(), reply.outcome(), reply.load(), fresh());
+        } else {
+            q.out--;
+            if (reply.outcome() == Outcome.COMPLETED && !q.over) {
+                q.over = true;
+                q.client.answer(q, reply.answer());
+            }
+            balance.ended(clock.now(), q.id, e.number, reply.outcome(), reply.note(), reply.load(), q.over, fresh());
+        }
+        carryOut();
+        if (q != null) {
+            forget(q);
+        }
+    }
+
+    private void unknown(NodeId id) {
+        balance.probed(clock.now(), id, Outcome.NO_CONNECTION, LoadReport.NONE, fresh());
+        carryOut();
+    }
+
+    private void forget(Query q) {
+        if (q.over && q.out == 0) {
+            queries.remove(q.id);
+        }
+    }
+
+    private void closeIdleEverywhere() {
+        nodes.values().forEach(n -> n.tell(n::closeIdle));
+    }
+
+    // ---- told by the list
+
+    public void listed(Members list) {
+        mailbox.tell(() -> {
+            Set<NodeId> named = new HashSet<>();
+            for (Member m : list.members()) {
+                if (m.entry().phase() != Phase.GONE) {
+                    named.add(m.entry().id());
+                    node(m);
+                } else {
+                    gone(m.entry().id());
+                }
+            }
+            if (list.whole()) {
+                Set.copyOf(nodes.keySet()).stream().filter(id -> !named.contains(id)).forEach(this::gone);
+            }
+            balance.listed(clock.now(), list.members().stream().map(Member::entry).toList(), list.whole(), fresh());
+            carryOut();
+        });
+    }
+
+    public void listFailed() {
+        mailbox.tell(() -> {
+            balance.listFailed(clock.now(), fresh());
+            carryOut();
+        });
+    }
+
+    private void node(Member m) {
+        boolean origin = m.entry().kind().equals(start.figures.deployment.originKind());
+        NodeActor n = nodes.get(m.entry().id());
+        if (n == null) {
+            nodes.put(m.entry().id(), new NodeActor(around, m, origin));
+        } else {
+            n.tell(() -> n.listed(m, origin));
+        }
+    }
+
+    private void gone(NodeId id) {
+        NodeActor n = nodes.remove(id);
+        if (n != null) {
+            n.tell(n::gone);
+        }
+    }
+
+    // ---- what was decided
+
+    private Decisions fresh() {
+        decisions.clear();
+        return decisions;
+    }
+
+    private void carryOut() {
+        wakeNs = decisions.wakeNs;
+        long now = clock.now();
+        for (Decisions.Start s : decisions.starts) {
+            Query q = queries.get(s.query());
+            Errand e = new Errand(q, q.executions.size(), nodes.get(s.node()), now + s.allowNs());
+            q.executions.add(e);
+            q.out++;
+            e.node.tell(() -> e.node.begin(e));
+        }
+        for (Decisions.Stop s : decisions.stops) {
+            Query q = queries.get(s.query());
+            Errand e = q.executions.get(s.execution());
+            e.node.tell(() -> e.node.stop(e));
+        }
+        for (Decisions.Answer a : decisions.answers) {
+            Query q = queries.get(a.query());
+            if (!q.over) {
+                q.over = true;
+                q.client.answer(q, a.rejected() ? MetaReply.rejected(a.comeBackNs() / NS_PER_MS)
+                    : MetaReply.aborted());
+            }
+            forget(q);
+        }
+        for (NodeId id : decisions.probes) {
+            NodeActor n = nodes.get(id);
+            if (n == null) {
+                mailbox.tell(() -> unknown(id)); // gone since the module last heard of it
+                continue;
+            }
+            Errand probe = new Errand(null, 0, n, now + 2 * start.figures.connectNs);
+            n.tell(() -> n.begin(probe));
+        }
+        for (NodeId id : decisions.closes) {
+            NodeActor n = nodes.get(id);
+            if (n != null) {
+                n.tell(n::closeIdle);
+            }
+        }
+        if (decisions.follow) {
+            follow.follow();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/spurroad/routing/Dialect.java
@@ -0,0 +1,46 @@
+package spurroad.routing;
+
+import java.io.IOException;
+import java.util.Map;
+import spurroad.protocol.ByteSource;
+import spurroad.protocol.Http;
+import spurroad.protocol.MetaCommand;
+import spurroad.protocol.MetaReply;
+import spurroad.protocol.Reply;
+
+/** How a node is spoken to: one message out, one reply back. Another protocol would be one more of these. */
+interface Dialect {
+    /** The message for a query that is waited for that long; null stands for a probe. */
+    byte[] message(MetaCommand query, long waitMs);
+
+    /** The reply to such a message. */
+    Reply reply(ByteSource in, MetaCommand query) throws IOException;
+
+    /** Cache nodes: the meta commands. */
+    Dialect CACHE = new Dialect() {
+        @Override
+        public byte[] message(MetaCommand query, long waitMs) {
+            return query == null ? MetaReply.probe() : query.forNode(waitMs);
+        }
+
+        @Override
+        public Reply reply(ByteSource in, MetaCommand query) throws IOException {
+            return query == null ? MetaReply.readProbe(in) : MetaReply.read(in, query.id);
+        }
+    };
+
+    /** The origin: HTTP/1.1. */
+    static Dialect origin(String host) {
+        return new Dialect() {
+            @Override
+            public byte[] message(MetaCommand query, long waitMs) {
+                return query == null ? Http.get("/_load", host, Map.of()) : Http.forOrigin(query, host);
+            }
+
+            @Override
+            public Reply reply(ByteSource in, MetaCommand query) throws IOException {
+                return query == null ? Http.readProbe(in) : Http.read(in, query);
+            }
+        };
+    }
+}
--- /dev/null
+++ b/src/main/java/spurroad/routing/Errand.java
@@ -0,0 +1,29 @@
+package spurroad.routing;
+
+import spurroad.protocol.MetaCommand;
+import spurroad.transport.Threads;
+
+/** One execution of a query, or a probe where there is no query: its node's actor ends it exactly once. */
+final class Errand {
+    final Query query;
+    final int number;
+    final NodeActor node;
+    final long until;
+    /** Whether the last byte may have gone out; set before the write, taken back if that fails. */
+    volatile boolean written;
+    // the node actor's
+    NodeConnection connection;
+    Threads.Alarm alarm;
+    boolean ended, asked;
+
+    Errand(Query query, int number, NodeActor node, long until) {
+        this.query = query;
+        this.number = number;
+        this.node = node;
+        this.until = until;
+    }
+
+    MetaCommand command() {
+        return query == null ? null : query.command;
+    }
+}
--- /dev/null
+++ b/src/main/java/spurroad/routing/NodeActor.java
@@ -0,0 +1,204 @@
+package spurroad.routing;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import spurroad.model.CacheNote;
+import spurroad.model.LoadReport;
+import spurroad.model.NodeId;
+import spurroad.model.Outcome;
+import spurroad.protocol.Members.Member;
+import spurroad.protocol.Reply;
+import spurroad.transport.Actor;
+import spurroad.transport.Clock;
+import spurroad.transport.Descriptors;
+import spurroad.transport.EventLog;
+import spurroad.transport.Threads;
+
+/** One cache node or the origin: owns the connections to it, and ends every errand that it was given once. */
+final class NodeActor extends Actor {
+    /** What all node actors share. */
+    record Surroundings(Threads threads, EventLog log, Clock clock, Descriptors descriptors, long connectNs,
+                        long idleNs, Runnable closeIdleEverywhere, Ended ended) { }
+
+    /** Hears how each errand ended. */
+    interface Ended {
+        void ended(Errand e, Reply reply);
+    }
+
+    private static final int MAILBOX = 8192; // messages; some for each query under way
+    private static final double KEPT = 0.8; // of the time until the node closes an idle one: no query crosses that
+    private static final long SHORT_NS = 10_000_000L; // ns; idle connections of others are closed within that
+
+    private final Surroundings around;
+    private final NodeId id;
+    private final String name;
+    private final Deque<NodeConnection> idle = new ArrayDeque<>();
+    private final long keepNs;
+    private Dialect dialect;
+    private Member member;
+    private int generation;
+    private boolean gone;
+
+    NodeActor(Surroundings around, Member member, boolean origin) {
+        super(around.threads, around.log, MAILBOX);
+        this.around = around;
+        this.member = member;
+        id = member.entry().id();
+        keepNs = (long) (around.idleNs * KEPT);
+        dialect = dialect(member, origin);
+        name = (origin ? "origin " : "cache node ") + member.endpoint();
+    }
+
+    private static Dialect dialect(Member member, boolean origin) {
+        InetSocketAddress at = member.endpoint();
+        return origin ? Dialect.origin(at.getHostString() + ":" + at.getPort()) : Dialect.CACHE;
+    }
+
+    @Override
+    public String toString() {
+        return name;
+    }
+
+    NodeId id() {
+        return id;
+    }
+
+    long now() {
+        return around.clock.now();
+    }
+
+    // ---- told by the decider
+
+    /** The list names it again: a new address or a new start makes its connections useless. */
+    void listed(Member now, boolean origin) {
+        boolean other = !now.endpoint().equals(member.endpoint())
+            || now.entry().startedNs() != member.entry().startedNs();
+        member = now;
+        if (other) {
+            generation++;
+            dialect = dialect(now, origin);
+            closeIdle();
+        }
+    }
+
+    /** The list names it no more; what is under way ends undisturbed. */
+    void gone() {
+        gone = true;
+        closeIdle();
+    }
+
+    void closeIdle() {
+        while (!idle.isEmpty()) {
+            idle.poll().close();
+        }
+    }
+
+    void begin(Errand e) {
+        e.alarm = around.threads.after(e.until - now(), () -> tell(() -> timedOut(e)));
+        place(e);
+    }
+
+    /** Calls an errand off; the node may go on with it. */
+    void stop(Errand e) {
+        if (!e.ended) {
+            leave(e);
+            end(e, without(Outcome.CANCELLED));
+        }
+    }
+
+    // ---- its own
+
+    private void place(Errand e) {
+        if (e.ended) {
+            return;
+        }
+        NodeConnection c = kept();
+        if (c != null) {
+            c.errand = e;
+            e.connection = c;
+            around.threads.run(() -> c.write(e));
+        } else if (around.descriptors.takeForNode()) {
+            e.connection = new NodeConnection(this, dialect, member.endpoint(), around.connectNs, generation, e);
+            around.threads.start("node-" + member.endpoint(), e.connection);
+        } else if (!e.asked) {
+            e.asked = true;
+            around.log.trouble("no descriptor left for nodes", name);
+            around.closeIdleEverywhere.run();
+            around.threads.after(SHORT_NS, () -> tell(() -> place(e)));
+        } else {
+            end(e, without(Outcome.NO_CONNECTION));
+        }
+    }
+
+    private NodeConnection kept() {
+        closeLongIdle();
+        return idle.pollLast();
+    }
+
+    private void closeLongIdle() {
+        while (!idle.isEmpty() && now() - idle.peekFirst().idleSince >= keepNs) {
+            idle.pollFirst().close();
+        }
+    }
+
+    private void timedOut(Errand e) {
+        if (!e.ended) {
+            leave(e);
+            end(e, without(e.written ? Outcome.TIMED_OUT : Outcome.NO_CONNECTION));
+        }
+    }
+
+    private static void leave(Errand e) {
+        if (e.connection != null) {
+            e.connection.close();
+        }
+    }
+
+    private void end(Errand e, Reply reply) {
+        e.ended = true;
+        e.alarm.cancel();
+        around.ended.ended(e, reply);
+    }
+
+    private static Reply without(Outcome outcome) {
+        return new Reply(outcome, CacheNote.NONE, LoadReport.NONE, null, false);
+    }
+
+    // ---- told by its connections
+
+    void replied(NodeConnection c, Errand e, Reply reply) {
+        if (c.closed) {
+            return;
+        }
+        c.errand = null;
+        if (reply.more() && !gone && c.generation == generation) {
+            c.idleSince = now();
+            idle.addLast(c);
+            around.threads.after(keepNs, () -> tell(this::closeLongIdle));
+        } else {
+            c.close();
+        }
+        end(e, reply);
+    }
+
+    void broken(NodeConnection c) {
+        idle.remove(c);
+        Errand e = c.errand;
+        if (!c.closed && e != null && !e.ended) {
+            end(e, without(e.written ? Outcome.DROPPED : Outcome.NO_CONNECTION));
+        }
+        c.closed = true;
+    }
+
+    // ---- from threads of its connections
+
+    void placeBack() {
+        around.descriptors.giveFromNode();
+    }
+
+    void unusable(InetSocketAddress from, IOException why) {
+        around.log.trouble("a node's answer can't be used", name + " at " + from + ", " + why.getMessage());
+    }
+}
--- /dev/null
+++ b/src/main/java/spurroad/routing/NodeConnection.java
@@ -0,0 +1,82 @@
+package spurroad.routing;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import spurroad.protocol.ByteSource;
+import spurroad.protocol.ProtocolException;
+import spurroad.protocol.Reply;
+import spurroad.transport.Sockets;
+
+/**
+ * One connection to a node, with a thread that connects, sends the first errand and reads for as long as it lasts; it
+ * closes the socket for good and gives its place back when it ends. Its node's actor may close the socket earlier.
+ */
+final class NodeConnection implements Runnable {
+    private static final long NS_PER_MS = 1_000_000L;
+    private final NodeActor node;
+    private final Dialect dialect;
+    private final InetSocketAddress endpoint;
+    private final int connectMs;
+    private final Socket socket = new Socket();
+    /** What it carries now, set by the actor alone; null while idle. */
+    volatile Errand errand;
+    // the actor's
+    boolean closed;
+    long idleSince;
+    final int generation;
+
+    NodeConnection(NodeActor node, Dialect dialect, InetSocketAddress endpoint, long connectNs, int generation,
+                   Errand first) {
+        this.node = node;
+        this.dialect = dialect;
+        this.endpoint = endpoint;
+        this.generation = generation;
+        connectMs = (int) Math.max(1, connectNs / NS_PER_MS);
+        errand = first;
+    }
+
+    @Override
+    public void run() {
+        Errand first = errand;
+        try {
+            socket.connect(endpoint, connectMs);
+            Sockets.set(socket);
+            write(first);
+            ByteSource in = new ByteSource(socket.getInputStream());
+            while (in.await()) {
+                Errand e = errand;
+                if (e == null) {
+                    throw new ProtocolException("an answer to nothing");
+                }
+                Reply reply = dialect.reply(in, e.command());
+                node.tell(() -> node.replied(this, e, reply));
+            }
+        } catch (ProtocolException e) {
+            node.unusable(endpoint, e);
+        } catch (IOException e) {
+            // what it means for the errand depends on what was written; the actor tells
+        } finally {
+            Sockets.close(socket);
+            node.placeBack();
+            node.tell(() -> node.broken(this));
+        }
+    }
+
+    /** Sends an errand whole; if that fails the socket is closed, which ends the thread above. */
+    void write(Errand e) {
+        long waitMs = Math.max(1, (e.until - node.now()) / NS_PER_MS);
+        e.written = true;
+        try {
+            socket.getOutputStream().write(dialect.message(e.command(), waitMs));
+        } catch (IOException broken) {
+            e.written = false;
+            Sockets.close(socket);
+        }
+    }
+
+    void close() {
+        closed = true;
+        Sockets.close(socket);
+    }
+}
--- /dev/null
+++ b/src/main/java/spurroad/routing/Query.java
@@ -0,0 +1,30 @@
+package spurroad.routing;
+
+import java.util.ArrayList;
+import java.util.List;
+import spurroad.model.CustomerId;
+import spurroad.model.QueryId;
+import spurroad.model.TrackId;
+import spurroad.protocol.MetaCommand;
+
+/** One query on its way through the proxy: made by its client's actor, then the decider's until it is over. */
+final class Query {
+    final ClientConnection client;
+    final MetaCommand command;
+    final TrackId track;
+    final CustomerId customer;
+    final long takenAt;
+    // the decider's
+    QueryId id;
+    final List<Errand> executions = new ArrayList<>(2);
+    int out;
+    boolean over;
+
+    Query(ClientConnection client, MetaCommand command, TrackId track, CustomerId customer, long takenAt) {
+        this.client = client;
+        this.command = command;
+        this.track = track;
+        this.customer = customer;
+        this.takenAt = takenAt;
+    }
+}
--- /dev/null
+++ b/src/main/java/spurroad/start/FaultyKeyException.java
@@ -0,0 +1,10 @@
+package spurroad.start;
+
+/** A figure that is missing or impossible; the message is one line that names its key. */
+public final class FaultyKeyException extends RuntimeException {
+    private static final long serialVersionUID = 1L;
+
+    public FaultyKeyException(String message) {
+        super(message);
+    }
+}
--- /dev/null
+++ b/src/main/java/spurroad/start/ProxyStart.java
@@ -0,0 +1,106 @@
+package spurroad.start;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Map;
+import spurroad.protocol.Json;
+import spurroad.protocol.Members;
+import spurroad.protocol.ProtocolException;
+
+/** What one real proxy is started with: read, checked and given defaults here and nowhere else. */
+public final class ProxyStart {
+    private static final double MEMORY_MB = 192; // MiB; where no limit is told, the least that we run in
+    private static final double SOCKETS = 1024; // descriptors; where no limit is told, the usual one
+    private static final double LEAST_MEMORY_MB = 64; // MiB; the virtual machine alone takes about that
+    private static final double LEAST_SOCKETS = 100; // descriptors; fewer leave none for clients
+
+    public final String name;
+    public final InetSocketAddress listen;
+    public final InetSocketAddress discovery;
+    public final long seed;
+    public final int memoryMb;
+    public final int sockets;
+    public final Members known;
+    public final Members.Names names;
+    public final StartFigures figures;
+
+    /** Reads the file that the environment names. */
+    public static ProxyStart ofEnvironment(Map<String, String> environment) {
+        String path = environment.get("BALANCER_CONFIG");
+        if (path == null || path.isEmpty()) {
+            throw new FaultyKeyException("BALANCER_CONFIG is not set: expected the path of a JSON file");
+        }
+        try {
+            return new ProxyStart(Files.readString(Path.of(path)));
+        } catch (IOException e) {
+            throw new FaultyKeyException("BALANCER_CONFIG: can't read " + path);
+        }
+    }
+
+    public ProxyStart(String text) {
+        Object json;
+        try {
+            json = Json.read(text);
+        } catch (ProtocolException e) {
+            throw new FaultyKeyException("BALANCER_CONFIG is " + e.getMessage());
+        }
+        Map<?, ?> whole = object(json, "the whole");
+        name = text(whole, "name");
+        listen = address(whole, "listen");
+        discovery = address(whole, "discovery");
+        seed = seed(whole);
+        Map<?, ?> limits = whole.get("limits") == null ? Map.of() : object(whole.get("limits"), "limits");
+        memoryMb = (int) number(limits, "limits.", "memory_mb", MEMORY_MB, LEAST_MEMORY_MB);
+        sockets = (int) number(limits, "limits.", "sockets", SOCKETS, LEAST_SOCKETS);
+        figures = StartFigures.ofJson(object(whole.get("settings"), "settings"));
+        names = new Members.Names(figures.kinds, figures.zones, figures.weighted);
+        try {
+            known = Members.read(object(whole.get("known"), "known"), names);
+        } catch (ProtocolException e) {
+            throw new FaultyKeyException("known holds " + e.getMessage());
+        }
+    }
+
+    private static Map<?, ?> object(Object json, String key) {
+        if (json instanceof Map<?, ?> object) {
+            return object;
+        }
+        throw new FaultyKeyException(key + (json == null ? " is missing" : " is not an object"));
+    }
+
+    private static String text(Map<?, ?> whole, String key) {
+        if (whole.get(key) instanceof String text && !text.isEmpty()) {
+            return text;
+        }
+        throw new FaultyKeyException(key + (whole.get(key) == null ? " is missing" : " is not a text"));
+    }
+
+    private static InetSocketAddress address(Map<?, ?> whole, String key) {
+        try {
+            return Members.endpoint(text(whole, key));
+        } catch (ProtocolException e) {
+            throw new FaultyKeyException(key + ": " + e.getMessage());
+        }
+    }
+
+    private static long seed(Map<?, ?> whole) {
+        try {
+            return Long.parseUnsignedLong(text(whole, "seed"), 16);
+        } catch (NumberFormatException e) {
+            throw new FaultyKeyException("seed is not a number of up to 16 hexadecimal digits");
+        }
+    }
+
+    private static double number(Map<?, ?> in, String path, String key, double otherwise, double least) {
+        Object value = in.get(key);
+        if (value == null) {
+            return otherwise;
+        }
+        if (value instanceof Double number && number >= least && number <= Integer.MAX_VALUE) {
+            return number;
+        }
+        throw new FaultyKeyException(path + key + " is not a number from " + (long) least + " on");
+    }
+}
--- /dev/null
+++ b/src/main/java/spurroad/start/StartFigures.java
@@ -0,0 +1,98 @@
+package spurroad.start;
+
+import java.util.ArrayList;
+import java.util.List;
+import spurroad.model.DedupScope;
+import spurroad.model.Deployment;
+import spurroad.model.Effect;
+import spurroad.model.KindId;
+import spurroad.model.Track;
+
+/**
+ * What a proxy is told of its deployment at start, turned into what the program uses; the same for the simulator's
+ * lines and for a configuration file. Nothing else reads these figures.
+ */
+public final class StartFigures {
+    private static final long NS_PER_US = 1_000L;
+    private static final long CONNECT_NS = 1_000_000_000L; // ns; where no limit is told: a lost packet sent again
+    private static final int MOST_OPEN = 20_000; // queries; where no limit is told
+    private final Figures figures;
+    public final Deployment deployment;
+    public final List<String> reportColumns;
+    /** Whether list entries carry a steady size. */
+    public final boolean weighted;
+    public final long connectNs;
+    public final int mostOpen;
+    public final List<String> tracks;
+    public final List<String> customers;
+    public final List<String> kinds;
+    public final List<String> zones;
+
+    public static StartFigures ofLines(String text) {
+        return new StartFigures(Figures.ofLines(text));
+    }
+
+    public static StartFigures ofJson(Object json) {
+        return new StartFigures(Figures.ofJson(json));
+    }
+
+    private StartFigures(Figures figures) {
+        this.figures = figures;
+        String weights = figures.text("weights", "off");
+        weighted = weights.equals("nominal") || weights.equals("rough");
+        reportColumns = figures.list("report.columns");
+        connectNs = figures.time("allowed.connectTimeoutUs", CONNECT_NS / NS_PER_US);
+        mostOpen = Math.max(1, (int) figures.number("allowed.maxOpen", MOST_OPEN));
+        tracks = figures.each("tracks", "name");
+        customers = figures.each("projects", "name");
+        kinds = figures.list("kinds");
+        zones = figures.list("failureDomains");
+        deployment = deployment();
+    }
+
+    private Deployment deployment() {
+        List<Track> read = new ArrayList<>();
+        for (int i = 0, n = (int) figures.needNumber("tracks.count"); i < n; i++) {
+            read.add(track("tracks." + i + "."));
+        }
+        double proxies = Math.max(1, figures.number("balancers", 1));
+        List<Double> paces = new ArrayList<>();
+        for (int i = 0, n = (int) figures.number("projects.count", 0); i < n; i++) {
+            paces.add(figures.needNumber("projects." + i + ".allowancePerS") / proxies);
+        }
+        boolean aside = figures.text("familyInfo.mode", "through").equals("aside");
+        int originKind = (int) figures.number("familyInfo.originKind", -1);
+        boolean probes = figures.flag("allowed.probes");
+        return new Deployment(List.copyOf(read), List.copyOf(paces),
+            aside && originKind >= 0 ? new KindId(originKind) : null,
+            figures.text("discovery", "pushed").equals("on_request"), probes, figures.flag("allowed.cancel"),
+            figures.flag("allowed.retryAfter") ? figures.time("allowed.maxRetryAfterUs", 0) : 0,
+            Math.max(1, (int) figures.number("allowed.mostExecutions", 1)),
+            figures.number("obligations.startCapacity", 1), figures.time("obligations.coldUs", 0),
+            figures.time("tickUs", 0), figures.time("allowed.idleCloseUs", Long.MAX_VALUE / NS_PER_US / 4),
+            idleQueries(proxies), probes && (reportColumns.contains("rif") || reportColumns.contains("q")));
+    }
+
+    /** A handshake is priced for each query, an open connection for each hundred of them a node. */
+    private double idleQueries(double proxies) {
+        double open = figures.number("deductions.connection", 0);
+        return open > 0 ? figures.number("deductions.handshake", 0) / open * 100 / proxies : Double.MAX_VALUE;
+    }
+
+    private Track track(String at) {
+        Effect effect = switch (figures.need(at + "effect")) {
+            case "retryable" -> Effect.IDEMPOTENT;
+            case "dedup" -> Effect.DEDUPLICATED;
+            case "fragile" -> Effect.NON_IDEMPOTENT;
+            default -> throw new FaultyKeyException("setting " + at + "effect has an unknown value");
+        };
+        DedupScope scope = switch (figures.text(at + "dedupScope", "cell")) {
+            case "all" -> DedupScope.ALL;
+            case "zone" -> DedupScope.ZONE;
+            default -> DedupScope.CELL;
+        };
+        return new Track(effect, scope, figures.time(at + "dedupWindowUs", 0),
+            (long) figures.needNumber(at + "sloTimeUs") * NS_PER_US, figures.number(at + "aimStretch", 0),
+            figures.number(at + "importance", 1), figures.number(at + "tardyImportance", 0));
+    }
+}
--- /dev/null
+++ b/src/main/java/spurroad/transport/EventLog.java
@@ -0,0 +1,46 @@
+package spurroad.transport;
+
+import java.lang.System.Logger.Level;
+import java.util.Map;
+import java.util.concurrent.ConcurrentHashMap;
+
+/** Log lines for staff: one line a kind and second at most; what was left out is counted on the next. */
+public final class EventLog {
+    private static final long APART_NS = 1_000_000_000L; // ns; staff read no faster, and a fault repeats itself
+
+    private static final class Kind {
+        private long lastAt;
+        private long leftOut;
+        private boolean any;
+    }
+
+    private final System.Logger log = System.getLogger("spurroad");
+    private final Map<String, Kind> kinds = new ConcurrentHashMap<>();
+
+    /** Something that staff may want to see; the kind is a fixed text, the rest tells of this one case. */
+    public void event(String kind, Object about) {
+        write(Level.INFO, kind, about);
+    }
+
+    /** Something that should not happen. */
+    public void trouble(String kind, Object about) {
+        write(Level.WARNING, kind, about);
+    }
+
+    private void write(Level level, String kind, Object about) {
+        Kind k = kinds.computeIfAbsent(kind, x -> new Kind());
+        long leftOut;
+        synchronized (k) {
+            long now = System.nanoTime();
+            if (k.any && now - k.lastAt < APART_NS) {
+                k.leftOut++;
+                return;
+            }
+            leftOut = k.leftOut;
+            k.leftOut = 0;
+            k.lastAt = now;
+            k.any = true;
+        }
+        log.log(level, kind + ": " + about + (leftOut > 0 ? " (and " + leftOut + " more)" : ""));
+    }
+}
--- /dev/null
+++ b/src/main/java/spurroad/transport/Listener.java
@@ -0,0 +1,79 @@
+package spurroad.transport;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.SocketTimeoutException;
+
+/** Owns the listening socket; its thread takes a place for a client before it accepts one. */
+public final class Listener {
+    /** Gets accepted sockets, whose place it then owns, and is asked for places when there is none. */
+    public interface Door {
+        void accepted(Socket s);
+
+        void placesNeeded();
+    }
+
+    private static final int BACKLOG = 1024; // connections; a burst of clients after a restart
+    private static final long ASK_NS = 20_000_000L; // ns; how long a place is waited for before clients are asked
+    private static final long REST_MS = 20; // ms; after a failed accept, which may fail again at once
+    private static final int LAST_MS = 20; // ms; without a further connection, before the socket is closed
+
+    private final ServerSocket socket;
+    private final Descriptors descriptors;
+    private final Door door;
+    private final EventLog log;
+    private volatile boolean ending;
+
+    public Listener(InetSocketAddress at, Descriptors descriptors, Door door, EventLog log) throws IOException {
+        this.descriptors = descriptors;
+        this.door = door;
+        this.log = log;
+        socket = new ServerSocket();
+        socket.setReuseAddress(true);
+        socket.bind(at, BACKLOG);
+        socket.setSoTimeout(LAST_MS);
+    }
+
+    public int port() {
+        return socket.getLocalPort();
+    }
+
+    /** Accepts until told to end, and then all those that the system has taken for us already. */
+    public void run() {
+        boolean more = true;
+        while (more) {
+            boolean last = ending;
+            try {
+                while (!descriptors.takeForClient(ASK_NS)) {
+                    door.placesNeeded();
+                }
+                more = accept() || !last;
+            } catch (InterruptedException e) {
+                more = false;
+            }
+        }
+        Sockets.close(socket);
+    }
+
+    private boolean accept() throws InterruptedException {
+        try {
+            Socket s = socket.accept();
+            door.accepted(s);
+            return true;
+        } catch (SocketTimeoutException e) {
+            descriptors.giveFromClient();
+            return false;
+        } catch (IOException e) {
+            descriptors.giveFromClient();
+            log.trouble("accepting failed", e.getMessage());
+            Thread.sleep(REST_MS);
+            return false;
+        }
+    }
+
+    public void end() {
+        ending = true;
+    }
+}
--- a/src/main/java/spurroad/wirehost/WireHost.java
+++ b/src/main/java/spurroad/wirehost/WireHost.java
@@ -26,6 +26,8 @@
 import spurroad.model.QueryId;
 import spurroad.model.TrackId;
 import spurroad.model.ZoneId;
+import spurroad.start.FaultyKeyException;
+import spurroad.start.StartFigures;
 
 /** Hosts many instances of the module on the simulator's wire: frames in, calls, frames out. */
 public final class WireHost {
@@ -54,7 +56,7 @@
         private final boolean weighted;
         private long armedNs = Long.MAX_VALUE;
 
-        private Hosted(Balance balance, StartLines lines) {
+        private Hosted(Balance balance, StartFigures lines) {
             this.balance = balance;
             columns = lines.reportColumns;
             weighted = lines.weighted;
@@ -139,8 +141,12 @@
         int instance = f.getInt();
         if (code == LAUNCH) {
             long seed = f.getLong();
-            StartLines lines = new StartLines(text(f));
-            hosted.put(instance, new Hosted(new Balance(lines.deployment(), seed), lines));
+            try {
+                StartFigures lines = StartFigures.ofLines(text(f));
+                hosted.put(instance, new Hosted(new Balance(lines.deployment, seed), lines));
+            } catch (FaultyKeyException e) {
+                throw new WireException(e.getMessage());
+            }
             return;
         }
         Hosted host = hosted.get(instance);
