--- a/src/main/java/spurroad/program/Main.java
+++ b/src/main/java/spurroad/program/Main.java
@@ -12,6 +12,7 @@
 /** The command line. */
 public final class Main {
     private static final String USAGE = "usage: spurroad serve | wirehost";
+    private static final String LINE_PROPERTY = "java.util.logging.SimpleFormatter.format";
     private static final int FAILED = 1, MISUSED = 2; // exit codes
 
     private Main() { }
@@ -30,6 +31,8 @@
     }
 
     private static void serve() throws InterruptedException {
+        // the standard library's own lines are two each, and name the class that logs rather than what happened
+        System.getProperties().putIfAbsent(LINE_PROPERTY, "%1$tFT%1$tT.%1$tL %4$s %5$s%6$s%n");
         try {
             ProxyStart start = ProxyStart.ofEnvironment(System.getenv());
             try {
--- a/src/main/java/spurroad/program/Service.java
+++ b/src/main/java/spurroad/program/Service.java
@@ -25,7 +25,7 @@
     public Service(ProxyStart start) throws IOException {
         Threads threads = new Threads(log);
         Clock clock = new Clock();
-        Descriptors descriptors = new Descriptors(start.sockets);
+        Descriptors descriptors = new Descriptors(start.places);
         Decider decider = new Decider(start, threads, log, clock, descriptors);
         clients = new Clients(start, threads, log, clock, decider, descriptors);
         listener = new Listener(start.listen, descriptors, clients, log);
--- a/src/main/java/spurroad/protocol/ByteSource.java
+++ b/src/main/java/spurroad/protocol/ByteSource.java
@@ -66,6 +66,11 @@
         return n;
     }
 
+    /** Drops what has been read and not taken. */
+    public void drop() {
+        from = to;
+    }
+
     /** As many bytes, into an array at a place. */
     public void bytes(byte[] into, int at, int count) throws IOException {
         int end = at + count;
--- a/src/main/java/spurroad/protocol/Http.java
+++ b/src/main/java/spurroad/protocol/Http.java
@@ -24,8 +24,13 @@
             return headers.getOrDefault("transfer-encoding", "").toLowerCase(Locale.ROOT).contains("chunked");
         }
 
+        /** Whether the body is told apart from what follows; else it lasts as long as the connection. */
+        boolean bounded() {
+            return chunked() || headers.containsKey("content-length") || status == 204 || status == 304;
+        }
+
         boolean more() {
-            return !headers.getOrDefault("connection", "").equalsIgnoreCase("close");
+            return bounded() && !headers.getOrDefault("connection", "").equalsIgnoreCase("close");
         }
     }
 
@@ -66,7 +71,16 @@
         return path.toString();
     }
 
+    /** The head of the answer; heads that only announce one are passed over. */
     public static Head head(ByteSource in) throws IOException {
+        Head head = oneHead(in);
+        for (int i = 0; head.status < 200 && i < MOST_HEADERS; i++) {
+            head = oneHead(in);
+        }
+        return head;
+    }
+
+    private static Head oneHead(ByteSource in) throws IOException {
         String line = need(in);
         String[] first = line.split(" ", 3);
         long status = first.length < 2 || !first[0].startsWith("HTTP/1.") ? -1 : Numbers.whole(first[1]);
@@ -110,6 +124,9 @@
     }
 
     private static byte[] body(ByteSource in, Head head) throws IOException {
+        if (!head.bounded()) {
+            return rest(in);
+        }
         if (!head.chunked()) {
             long length = Numbers.whole(head.headers.getOrDefault("content-length", "0"));
             return exactly(in, length);
@@ -133,6 +150,18 @@
         return body;
     }
 
+    private static byte[] rest(ByteSource in) throws IOException {
+        byte[] body = new byte[MetaCommand.MOST_VALUE + 1];
+        int length = 0;
+        for (int n = 0; n >= 0 && length < body.length; n = in.some(body, length, body.length - length)) {
+            length += n;
+        }
+        if (length == body.length) {
+            throw new ProtocolException("a body of impossible length");
+        }
+        return Arrays.copyOf(body, length);
+    }
+
     private static byte[] exactly(ByteSource in, long length) throws IOException {
         if (length < 0 || length > MetaCommand.MOST_VALUE) {
             throw new ProtocolException("a body of impossible length");
--- a/src/main/java/spurroad/routing/ClientConnection.java
+++ b/src/main/java/spurroad/routing/ClientConnection.java
@@ -26,6 +26,7 @@
 final class ClientConnection extends Actor implements Runnable {
     private static final int MOST_WAITING = 32; // commands; read ahead of their answers
     private static final int MAILBOX = 8 * MOST_WAITING; // messages; some for each command
+    private static final int CLOSED = Integer.MIN_VALUE / 2; // far below zero, whatever is still counted down
     private static final long SLOW_NS = 10_000_000_000L; // ns; a client that takes nothing so long is gone
 
     /** The place of one command's answer in the order of answers. */
@@ -64,15 +65,16 @@
     public void run() {
         try {
             ByteSource in = new ByteSource(Sockets.set(socket).getInputStream());
-            boolean lost = false;
-            while (in.await() && (lost || open.getAndUpdate(n -> n < 0 ? n : n + 1) >= 0)) {
+            boolean more = true;
+            while (more && in.await() && open.getAndUpdate(n -> n < 0 ? n : n + 1) >= 0) {
                 MetaCommand command = MetaCommand.read(in);
                 long at = clients.clock.now();
-                if (!lost) {
-                    ahead.acquire();
-                    tell(() -> taken(command, at));
-                }
-                lost |= command.lost;
+                ahead.acquire();
+                tell(() -> taken(command, at));
+                more = !command.lost;
+            }
+            while (!more && in.await()) {
+                in.drop(); // until the answer has gone out and the actor closes
             }
         } catch (IOException | InterruptedException e) {
             // a client that goes breaks its connection; told below
@@ -199,7 +201,13 @@
 
     /** Closes it between two commands, from any thread; one that the reader has begun keeps it open. */
     boolean closeIfIdle() {
-        boolean done = open.compareAndSet(0, Integer.MIN_VALUE / 2);
+        boolean unread;
+        try {
+            unread = socket.getInputStream().available() > 0;
+        } catch (IOException e) {
+            unread = false;
+        }
+        boolean done = !unread && open.compareAndSet(0, CLOSED);
         if (done) {
             Sockets.close(socket);
         }
--- a/src/main/java/spurroad/routing/Clients.java
+++ b/src/main/java/spurroad/routing/Clients.java
@@ -17,6 +17,7 @@
 public final class Clients implements Listener.Door {
     static final int QUERY_BYTES = 8192; // bytes; what a query without a value holds on its way, with room
     private static final int ROOM_SHARE = 8; // one part in so many of the memory is for queries under way
+    private static final int HEAP_SHARE = 3; // one part in so many of the heap; answers and buffers take more
     private static final long MIB = 1 << 20;
 
     final ProxyStart start;
@@ -37,7 +38,8 @@
         this.clock = clock;
         this.decider = decider;
         this.descriptors = descriptors;
-        room = new Room(Math.min(start.memoryMb * MIB / ROOM_SHARE, (long) start.figures.mostOpen * QUERY_BYTES));
+        long memory = Math.min(start.memoryMb * MIB / ROOM_SHARE, Runtime.getRuntime().maxMemory() / HEAP_SHARE);
+        room = new Room(Math.min(memory, (long) start.figures.mostOpen * QUERY_BYTES));
     }
 
     @Override
--- a/src/main/java/spurroad/routing/Decider.java
+++ b/src/main/java/spurroad/routing/Decider.java
@@ -78,8 +78,8 @@
                 }
                 message.run();
             }
-        } catch (RuntimeException | InterruptedException e) {
-            log.trouble("the module failed, the proxy ends", e + " at " + e.getStackTrace()[0]);
+        } catch (RuntimeException | Error | InterruptedException e) {
+            log.trouble("the module failed, the proxy ends", EventLog.where(e));
             Runtime.getRuntime().halt(MODULE_FAILED);
         }
     }
--- a/src/main/java/spurroad/routing/NodeActor.java
+++ b/src/main/java/spurroad/routing/NodeActor.java
@@ -120,8 +120,7 @@
             e.connection = c;
             around.threads.run(() -> c.write(e));
         } else if (around.descriptors.takeForNode()) {
-            e.connection = new NodeConnection(this, dialect, member.endpoint(), around.connectNs, generation, e);
-            around.threads.start("node-" + member.endpoint(), e.connection);
+            connect(e);
         } else if (!e.asked) {
             e.asked = true;
             around.log.trouble("no descriptor left for nodes", name);
@@ -132,6 +131,17 @@
         }
     }
 
+    private void connect(Errand e) {
+        e.connection = new NodeConnection(this, dialect, member.endpoint(), around.connectNs, generation, e);
+        try {
+            around.threads.start("node", e.connection);
+        } catch (OutOfMemoryError none) {
+            around.log.trouble("no thread for a node", none.getMessage());
+            placeBack();
+            broken(e.connection);
+        }
+    }
+
     private NodeConnection kept() {
         closeLongIdle();
         return idle.pollLast();
--- a/src/main/java/spurroad/start/ProxyStart.java
+++ b/src/main/java/spurroad/start/ProxyStart.java
@@ -13,15 +13,20 @@
 public final class ProxyStart {
     private static final double MEMORY_MB = 192; // MiB; where no limit is told, the least that we run in
     private static final double SOCKETS = 1024; // descriptors; where no limit is told, the usual one
-    private static final double LEAST_MEMORY_MB = 64; // MiB; the virtual machine alone takes about that
-    private static final double LEAST_SOCKETS = 100; // descriptors; fewer leave none for clients
+    private static final double LEAST_MEMORY_MB = 64; // MiB; the virtual machine alone takes 45
+    private static final double LEAST_SOCKETS = 64; // descriptors; fewer leave none for clients
+    private static final int OWN_SOCKETS = 32; // descriptors; the virtual machine's: 8 were seen, and room
+    private static final double OWN_MB = 112; // MiB; the virtual machine with a full heap, as deployed
+    private static final double PLACE_MB = 0.08; // MiB; a connection with its thread: 77 KiB were seen
+    private static final int LEAST_PLACES = 32; // connections; with less memory we hope rather than serve nobody
 
     public final String name;
     public final InetSocketAddress listen;
     public final InetSocketAddress discovery;
     public final long seed;
     public final int memoryMb;
-    public final int sockets;
+    /** How many connections of all kinds fit into the limits on descriptors and on memory. */
+    public final int places;
     public final Members known;
     public final Members.Names names;
     public final StartFigures figures;
@@ -53,7 +58,8 @@
         seed = seed(whole);
         Map<?, ?> limits = whole.get("limits") == null ? Map.of() : object(whole.get("limits"), "limits");
         memoryMb = (int) number(limits, "limits.", "memory_mb", MEMORY_MB, LEAST_MEMORY_MB);
-        sockets = (int) number(limits, "limits.", "sockets", SOCKETS, LEAST_SOCKETS);
+        int sockets = (int) number(limits, "limits.", "sockets", SOCKETS, LEAST_SOCKETS);
+        places = (int) Math.min(sockets - OWN_SOCKETS, Math.max(LEAST_PLACES, (memoryMb - OWN_MB) / PLACE_MB));
         figures = StartFigures.ofJson(object(whole.get("settings"), "settings"));
         names = new Members.Names(figures.kinds, figures.zones, figures.weighted);
         try {
--- a/src/main/java/spurroad/transport/Actor.java
+++ b/src/main/java/spurroad/transport/Actor.java
@@ -38,7 +38,7 @@
                 m.run();
             }
         } catch (RuntimeException e) {
-            log.trouble("an actor failed", this + ", " + e + " at " + e.getStackTrace()[0]);
+            log.trouble("an actor failed", this + ", " + EventLog.where(e));
         } finally {
             busy.set(false);
             wake();
--- a/src/main/java/spurroad/transport/Descriptors.java
+++ b/src/main/java/spurroad/transport/Descriptors.java
@@ -5,16 +5,14 @@
 
 /** The one count of open sockets. Whoever opens one takes a place first and gives it back once it is closed. */
 public final class Descriptors {
-    private static final int OWN = 64; // descriptors; those of the virtual machine and its files, with room
-    private static final int LEAST = 16; // descriptors; less serves nobody
     private static final int LIST = 2; // descriptors; a watch, and the next one while that closes
 
     private final Semaphore clients;
     private final Semaphore nodes;
 
-    /** Half for nodes and the origin: a client waits for one execution at a time, seldom for two. */
-    public Descriptors(int limit) {
-        int free = Math.max(LEAST, limit - OWN - LIST);
+    /** Half of the places for nodes and the origin: a client waits for one execution at a time, seldom for two. */
+    public Descriptors(int places) {
+        int free = places - LIST;
         nodes = new Semaphore(free / 2);
         clients = new Semaphore(free - free / 2);
     }
--- a/src/main/java/spurroad/transport/EventLog.java
+++ b/src/main/java/spurroad/transport/EventLog.java
@@ -27,6 +27,12 @@
         write(Level.WARNING, kind, about);
     }
 
+    /** A fault of the program in one line, with the place that it came from. */
+    public static String where(Throwable e) {
+        StackTraceElement[] at = e.getStackTrace();
+        return e + (at.length > 0 ? " at " + at[0] : "");
+    }
+
     private void write(Level level, String kind, Object about) {
         Kind k = kinds.computeIfAbsent(kind, x -> new Kind());
         long leftOut;
--- a/src/main/java/spurroad/transport/Threads.java
+++ b/src/main/java/spurroad/transport/Threads.java
@@ -36,7 +36,13 @@
 
     /** Work that ends soon, or that at worst holds up one peer. */
     public void run(Runnable work) {
-        shortWork.execute(work);
+        try {
+            shortWork.execute(work);
+        } catch (OutOfMemoryError e) {
+            // no further thread is to be had: a late message is better than a lost one
+            log.trouble("no thread for short work", e.getMessage());
+            alarm.execute(work);
+        }
     }
 
     /** Runs tiny work, such as telling an actor, once the time has passed, unless it is cancelled before. */
@@ -53,7 +59,7 @@
     private Thread thread(String name, Runnable work) {
         Thread t = new Thread(null, work, name, STACK_BYTES);
         t.setDaemon(true);
-        t.setUncaughtExceptionHandler((at, e) -> log.trouble("a thread failed", at.getName() + ", " + e));
+        t.setUncaughtExceptionHandler((at, e) -> log.trouble("a thread failed", at.getName() + ", " + EventLog.where(e)));
         return t;
     }
 }
