Tests of parsers, configuration, node actors and the whole proxy; the end waits for the listener

The drain test found it: with no client left the proxy ended while its listener still accepted, so a client connecting in the last 20 ms was reset. Listener.end now returns once the socket is closed.

--- a/src/main/java/spurroad/transport/Listener.java
+++ b/src/main/java/spurroad/transport/Listener.java
@@ -5,6 +5,7 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.SocketTimeoutException;
+import java.util.concurrent.CountDownLatch;
 
 /** Owns the listening socket; its thread takes a place for a client before it accepts one. */
 public final class Listener {
@@ -24,6 +25,7 @@
     private final Descriptors descriptors;
     private final Door door;
     private final EventLog log;
+    private final CountDownLatch ended = new CountDownLatch(1);
     private volatile boolean ending;
 
     public Listener(InetSocketAddress at, Descriptors descriptors, Door door, EventLog log) throws IOException {
@@ -55,6 +57,7 @@
             }
         }
         Sockets.close(socket);
+        ended.countDown();
     }
 
     private boolean accept() throws InterruptedException {
@@ -73,7 +76,9 @@
         }
     }
 
-    public void end() {
+    /** Returns once nobody else can connect. */
+    public void end() throws InterruptedException {
         ending = true;
+        ended.await();
     }
 }
--- /dev/null
+++ b/src/test/java/spurroad/program/ServiceTest.java
@@ -0,0 +1,229 @@
+package spurroad.program;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertNotNull;
+import static org.testng.Assert.assertNull;
+import static org.testng.Assert.assertThrows;
+import static org.testng.Assert.assertTrue;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.function.Function;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+import spurroad.Rig;
+import spurroad.Rig.Client;
+import spurroad.Rig.Peer;
+import spurroad.start.ProxyStart;
+
+/** The whole proxy between scripted clients, cache nodes, an origin and discovery. */
+public class ServiceTest {
+    private static final String READ = "mg k v O1 Pc=read,t=acme,d=9000\r\n";
+    private static final String WATCH = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+    private static String id(String message) {
+        return message.replaceFirst("(?s).*? O(\\S+).*", "$1");
+    }
+
+    private static Function<String, String> hit(String value) {
+        return m -> m.startsWith("stats") ? "STAT inflight 0\r\nEND\r\n"
+            : "VA " + value.length() + " O" + id(m) + "\r\n" + value + "\r\n";
+    }
+
+    private static String ok(String body) {
+        return "HTTP/1.1 200 OK\r\nContent-Length: " + body.length() + "\r\n\r\n" + body;
+    }
+
+    private static Service proxy(Peer discovery, int sockets, String... targets) throws IOException {
+        return new Service(new ProxyStart(Rig.start(discovery.port, sockets, Rig.list(1, true, targets))));
+    }
+
+    private static Service proxy(Peer node, Peer origin) throws IOException {
+        return proxy(new Peer(m -> WATCH), 256, Rig.target("s-1", "m1", node.port, "active", 0),
+            Rig.target("s-o", "origin", origin.port, "active", 0));
+    }
+
+    @DataProvider
+    Object[][] queries() {
+        Function<String, String> miss = m -> "EN O" + id(m) + "\r\n";
+        Function<String, String> origin = m -> ok("body");
+        String write = "ms k 3 O1 Pc=put,t=acme,d=9000,k=5\r\na\nb\r\n", big = "x".repeat(65536);
+        return new Object[][] {{READ, hit("v"), origin, "VA 1 O1\r\nv\r\n"}, {READ, hit(""), origin, "VA 0 O1\r\n\r\n"},
+            {READ, hit(big), origin, "VA 65536 O1\r\n" + big + "\r\n"}, {READ, miss, origin, "VA 4 O1\r\nbody\r\n"},
+            {write, miss, origin, "HD O1 cbody\r\n"},
+            {write.replace("3 O", "65536 O").replace("a\nb", big), miss, origin, "HD O1 cbody\r\n"},
+            {write, miss, (Function<String, String>) m -> "", "SERVER_ERROR"},
+            {READ, (Function<String, String>) m -> "VA 1 O9\r\nv\r\n", origin, "SERVER_ERROR busy"},
+            {READ, (Function<String, String>) m -> "SERVER_ERROR failed\r\n", origin, "SERVER_ERROR busy"},
+            {READ.replace("9000", "300"), (Function<String, String>) m -> null, origin, "SERVER_ERROR"}};
+    }
+
+    @Test(dataProvider = "queries")
+    public void aQueryHasOneAnswerWhateverItsNodesSay(String query, Function<String, String> node,
+                                                      Function<String, String> origin, String answer)
+        throws Exception {
+        try (Peer n = new Peer(node); Peer o = new Peer(origin); Client c = new Client(proxy(n, o).port())) {
+            c.say(query + "mn\r\n");
+            byte[] got = new byte[answer.length()];
+            c.in.bytes(got, 0, got.length);
+            assertEquals(new String(got), answer);
+            String next = c.line();
+            assertEquals(answer.endsWith("\n") ? next : c.line(), "MN", "one answer and no more");
+            if (query.startsWith("ms")) {
+                String heard = o.await("PUT /k HTTP/1.1");
+                assertTrue(heard.contains("X-Request-Id: 1\n") && heard.contains("c=put,t=acme,d=9000,k=5"), heard);
+                assertTrue(heard.endsWith("\n" + query.substring(query.indexOf("\r\n") + 2, query.length() - 2)));
+            }
+        }
+    }
+
+    @DataProvider
+    Object[][] faulty() {
+        return new Object[][] {{"get a\r\n", "ERROR", true}, {READ.replace("c=read", "c=x"), "CLIENT_ERROR unknown class", true},
+            {READ.replace("acme", "x"), "CLIENT_ERROR unknown tenant", true},
+            {READ.replace("d=9000", "q=1"), "CLIENT_ERROR no time to wait", true},
+            {"ms k x O1\r\n", "CLIENT_ERROR bad length", false}, {"y".repeat(5000), "CLIENT_ERROR line too long", false}};
+    }
+
+    @Test(dataProvider = "faulty")
+    public void badInputEndsItsOwnConnectionAtMostAndReachesNoNode(String command, String answer, boolean goesOn)
+        throws Exception {
+        try (Peer n = new Peer(hit("v")); Peer o = new Peer(m -> ok(""))) {
+            int port = proxy(n, o).port();
+            try (Client c = new Client(port); Client other = new Client(port)) {
+                assertEquals(c.say(command).line(), answer);
+                assertEquals(goesOn ? c.say("mn\r\n").line() : c.line(), goesOn ? "MN" : null);
+                assertTrue(n.heard.isEmpty());
+                assertEquals(other.say(READ).line(), "VA 1 O1");
+            }
+        }
+    }
+
+    @Test
+    public void answersComeInTheOrderOfTheirCommands() throws Exception {
+        CountDownLatch second = new CountDownLatch(1);
+        Function<String, String> rule = m -> {
+            if (m.contains("O2")) {
+                second.countDown();
+            } else if (m.contains("O1")) {
+                try {
+                    second.await();
+                } catch (InterruptedException e) {
+                    throw new IllegalStateException(e);
+                }
+            }
+            return hit("v").apply(m);
+        };
+        try (Peer n = new Peer(rule); Peer o = new Peer(m -> ok("")); Client c = new Client(proxy(n, o).port())) {
+            c.say(READ + READ.replace("O1", "O2") + "mn\r\n");
+            assertEquals(List.of(c.line(), c.line(), c.line(), c.line(), c.line()),
+                List.of("VA 1 O1", "v", "VA 1 O2", "v", "MN"));
+        }
+    }
+
+    @Test
+    public void aClientThatLeavesHasItsExecutionCalledOff() throws Exception {
+        try (Peer n = new Peer(m -> null); Peer o = new Peer(m -> ok(""))) {
+            Client c = new Client(proxy(n, o).port());
+            c.say(READ);
+            assertNotNull(n.await("mg k"));
+            c.close();
+            assertEquals(n.await("closed"), "closed");
+        }
+    }
+
+    @Test
+    public void aLostNodesKeysGoToAnother() throws Exception {
+        Peer lost = new Peer(m -> null);
+        lost.close();
+        try (Peer n = new Peer(hit("v"))) {
+            Service s = proxy(new Peer(m -> WATCH), 256, Rig.target("s-1", "m1", lost.port, "active", 0),
+                Rig.target("s-2", "m1", n.port, "active", 0));
+            try (Client c = new Client(s.port())) {
+                for (int i = 0; i < 20; i++) {
+                    assertEquals(c.say(READ.replace("mg k", "mg k" + i)).line(), "VA 1 O1");
+                    assertEquals(c.line(), "v");
+                }
+            }
+        }
+    }
+
+    @Test
+    public void theListIsFollowedAndAskedForAgain() throws Exception {
+        List<String> asked = new ArrayList<>();
+        try (Peer n = new Peer(hit("v"));
+             Peer discovery = new Peer(m -> {
+                 asked.add(m.split("\n")[0]);
+                 String line = Rig.list(7, true, Rig.target("s-1", "m1", n.port, "active", 0)) + "\n";
+                 return asked.size() == 1 ? "HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n"
+                     : asked.size() == 2 ? WATCH + Integer.toHexString(line.length()) + "\r\n" + line + "\r\n0\r\n\r\n"
+                     : WATCH;
+             });
+             Client c = new Client(proxy(discovery, 256).port())) {
+            String line = c.say(READ).line();
+            while (line.startsWith("SERVER_ERROR busy")) {
+                line = c.say(READ).line(); // no node is known yet
+            }
+            assertEquals(line, "VA 1 O1");
+            for (String since : List.of("1", "1", "7")) {
+                assertTrue(discovery.await("GET").startsWith("GET /catalog/members?follow=1&since=" + since + " "));
+            }
+        }
+    }
+
+    @Test
+    public void theEndAnswersWhatWasTakenAndLetsNobodyElseIn() throws Exception {
+        CountDownLatch ending = new CountDownLatch(1);
+        Function<String, String> held = m -> {
+            try {
+                ending.await();
+            } catch (InterruptedException e) {
+                throw new IllegalStateException(e);
+            }
+            return hit("v").apply(m);
+        };
+        try (Peer n = new Peer(held); Peer o = new Peer(m -> ok(""))) {
+            Service s = proxy(n, o);
+            try (Client busy = new Client(s.port()); Client idle = new Client(s.port())) {
+                assertEquals(idle.say("mn\r\n").line(), "MN");
+                busy.say(READ);
+                n.await("mg k");
+                Thread end = new Thread(() -> {
+                    try {
+                        s.end();
+                    } catch (InterruptedException e) {
+                        throw new IllegalStateException(e);
+                    }
+                });
+                end.start();
+                assertNull(idle.line(), "closed while idle");
+                ending.countDown();
+                assertEquals(busy.line(), "VA 1 O1");
+                assertEquals(busy.line(), "v");
+                assertNull(busy.line(), "closed once answered");
+                end.join();
+                assertThrows(IOException.class, () -> new Client(s.port()));
+            }
+        }
+    }
+
+    @Test
+    public void whenPlacesRunOutIdleClientsMakeRoom() throws Exception {
+        try (Peer n = new Peer(hit("v")); Peer o = new Peer(m -> ok(""))) {
+            Service s = proxy(new Peer(m -> WATCH), 70, Rig.target("s-1", "m1", n.port, "active", 0));
+            List<Client> clients = new ArrayList<>();
+            for (int i = 0; i < 60; i++) {
+                Client c = new Client(s.port());
+                clients.add(c);
+                assertEquals(c.say(READ).line(), "VA 1 O1");
+                assertEquals(c.line(), "v");
+            }
+            assertNull(clients.get(0).line(), "the longest idle was closed");
+            for (Client c : clients) {
+                c.close();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/spurroad/routing/NodeActorTest.java
@@ -0,0 +1,156 @@
+package spurroad.routing;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertNotNull;
+import static org.testng.Assert.assertTrue;
+
+import java.io.ByteArrayInputStream;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+import spurroad.Rig;
+import spurroad.model.CellId;
+import spurroad.model.NodeEntry;
+import spurroad.model.NodeId;
+import spurroad.model.Outcome;
+import spurroad.model.Phase;
+import spurroad.model.ZoneId;
+import spurroad.protocol.ByteSource;
+import spurroad.protocol.Members.Member;
+import spurroad.protocol.MetaCommand;
+import spurroad.protocol.Reply;
+import spurroad.transport.Clock;
+import spurroad.transport.Descriptors;
+import spurroad.transport.EventLog;
+import spurroad.transport.Threads;
+
+public class NodeActorTest {
+    private static final long LONG_NS = 20_000 * Rig.MS, SHORT_NS = 200 * Rig.MS;
+    private final EventLog log = new EventLog();
+    private final Threads threads = new Threads(log);
+    private final Clock clock = new Clock();
+    private final BlockingQueue<Reply> ended = new LinkedBlockingQueue<>();
+
+    private NodeActor node(int port, boolean origin, Descriptors descriptors) {
+        return new NodeActor(new NodeActor.Surroundings(threads, log, clock, descriptors, SHORT_NS, LONG_NS,
+            () -> { }, (e, reply) -> ended.add(reply)), member(port, 0), origin);
+    }
+
+    private static Member member(int port, long started) {
+        return new Member(new NodeEntry(new NodeId(1), Rig.CACHE, new ZoneId(0), new CellId(0), started, 1,
+            Phase.READY), new InetSocketAddress(InetAddress.getLoopbackAddress(), port));
+    }
+
+    private Errand begin(NodeActor node, long allowNs) throws IOException {
+        MetaCommand command = MetaCommand.read(new ByteSource(new ByteArrayInputStream(
+            "mg k v O1 Pc=read,d=480\r\n".getBytes())));
+        Errand e = new Errand(new Query(null, command, Rig.READ, null, 0), 0, node, clock.now() + allowNs);
+        node.tell(() -> node.begin(e));
+        return e;
+    }
+
+    private Outcome outcome() throws InterruptedException {
+        Reply reply = ended.poll(20, TimeUnit.SECONDS);
+        assertNotNull(reply, "an errand that never ended");
+        return reply.outcome();
+    }
+
+    @DataProvider
+    Object[][] ends() {
+        String head = "HTTP/1.1 ";
+        return new Object[][] {{false, "VA 1 O1\r\na\r\n", Outcome.COMPLETED}, {false, "EN O1\r\n", Outcome.MISS},
+            {false, "SERVER_ERROR failed\r\n", Outcome.ERROR}, {false, "SERVER_ERROR busy\r\n", Outcome.TURNED_AWAY},
+            {false, "", Outcome.DROPPED}, {false, null, Outcome.TIMED_OUT}, {false, "VA 5 O1\r\na", Outcome.TIMED_OUT},
+            {false, "VA 1 O2\r\na\r\n", Outcome.DROPPED}, {false, "CLIENT_ERROR x\r\n", Outcome.DROPPED},
+            {false, "x".repeat(9000), Outcome.DROPPED}, {true, "", Outcome.DROPPED}, {true, null, Outcome.TIMED_OUT},
+            {true, head + "200 OK\r\nContent-Length: 1\r\n\r\na", Outcome.COMPLETED},
+            {true, head + "500 No\r\nContent-Length: 0\r\n\r\n", Outcome.ERROR},
+            {true, head + "504 No\r\nContent-Length: 0\r\nX-Not-Run: 1\r\n\r\n", Outcome.TURNED_AWAY},
+            {true, "EN O1\r\n", Outcome.DROPPED}};
+    }
+
+    @Test(dataProvider = "ends")
+    public void whatComesBackDecidesTheOutcome(boolean origin, String answer, Outcome outcome) throws Exception {
+        try (Rig.Peer peer = new Rig.Peer(message -> answer)) {
+            begin(node(peer.port, origin, new Descriptors(100)), outcome == Outcome.TIMED_OUT ? SHORT_NS : LONG_NS);
+            assertEquals(outcome(), outcome);
+            assertTrue(peer.await(origin ? "GET /k" : "mg k v O1 Pc=read,d=").length() > 5);
+            if (outcome == Outcome.TIMED_OUT || outcome == Outcome.DROPPED) {
+                assertEquals(peer.await("closed"), "closed");
+            }
+        }
+    }
+
+    @Test
+    public void noConnectionProvesThatNothingRan() throws Exception {
+        int free;
+        try (ServerSocket s = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+            free = s.getLocalPort();
+        }
+        begin(node(free, false, new Descriptors(100)), LONG_NS);
+        assertEquals(outcome(), Outcome.NO_CONNECTION, "refused");
+        try (Rig.Peer peer = new Rig.Peer(message -> null)) {
+            Descriptors descriptors = new Descriptors(2 + 2);
+            NodeActor node = node(peer.port, false, descriptors);
+            begin(node, LONG_NS);
+            peer.await("mg");
+            begin(node, LONG_NS);
+            assertEquals(outcome(), Outcome.NO_CONNECTION, "no descriptor is left");
+        }
+    }
+
+    @Test
+    public void aCancelClosesItsConnectionAndEndsItOnce() throws Exception {
+        try (Rig.Peer peer = new Rig.Peer(message -> null)) {
+            Descriptors descriptors = new Descriptors(100);
+            NodeActor node = node(peer.port, false, descriptors);
+            int before = descriptors.leftForNodes();
+            Errand e = begin(node, LONG_NS);
+            peer.await("mg");
+            node.tell(() -> node.stop(e));
+            node.tell(() -> node.stop(e));
+            assertEquals(outcome(), Outcome.CANCELLED);
+            assertEquals(peer.await("closed"), "closed");
+            Errand next = begin(node, LONG_NS);
+            peer.await("mg");
+            node.tell(() -> node.stop(next));
+            assertEquals(outcome(), Outcome.CANCELLED);
+            peer.await("closed");
+            while (descriptors.leftForNodes() < before) {
+                Thread.onSpinWait();
+            }
+            assertTrue(ended.isEmpty());
+        }
+    }
+
+    @Test
+    public void aConnectionIsUsedAgainUntilTheNodeIsAnother() throws Exception {
+        Function<String, String> answer = message -> "EN O1\r\n";
+        try (Rig.Peer peer = new Rig.Peer(answer); Rig.Peer moved = new Rig.Peer(answer)) {
+            NodeActor node = node(peer.port, false, new Descriptors(100));
+            for (int i = 0; i < 3; i++) {
+                begin(node, LONG_NS);
+                assertEquals(outcome(), Outcome.MISS);
+            }
+            assertEquals(peer.connections.get(), 1);
+            node.tell(() -> node.listed(member(peer.port, 5), false));
+            assertEquals(peer.await("closed"), "closed", "a new start");
+            begin(node, LONG_NS);
+            assertEquals(outcome(), Outcome.MISS);
+            assertEquals(peer.connections.get(), 2);
+            node.tell(() -> node.listed(member(moved.port, 5), false));
+            begin(node, LONG_NS);
+            assertEquals(outcome(), Outcome.MISS);
+            assertEquals(moved.connections.get(), 1, "a new address");
+            node.tell(node::gone);
+            assertEquals(moved.await("closed"), "closed");
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/spurroad/start/ProxyStartTest.java
@@ -0,0 +1,82 @@
+package spurroad.start;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+import static org.testng.Assert.expectThrows;
+
+import java.util.List;
+import java.util.Map;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+import spurroad.Rig;
+import spurroad.model.Effect;
+import spurroad.model.KindId;
+
+public class ProxyStartTest {
+    private static final String GOOD = Rig.start(8500, 1024, Rig.list(41, true, Rig.target("s", "m1", 1, "active", 0)));
+
+    @Test
+    public void figuresAreDerivedAsFromTheSimulatorsLines() {
+        ProxyStart start = new ProxyStart(GOOD);
+        StartFigures lines = StartFigures.ofLines("tickUs=5000\ndiscovery=on_request\nkinds=m1,origin\n"
+            + "failureDomains=a\nfamilyInfo.mode=aside\nfamilyInfo.originKind=1\nprojects.count=1\n"
+            + "projects.0.name=acme\nprojects.0.allowancePerS=1000.0\nallowed.cancel=true\nallowed.probes=true\n"
+            + "allowed.retryAfter=true\nallowed.maxRetryAfterUs=2000000\nallowed.mostExecutions=6\n"
+            + "allowed.connectTimeoutUs=250000\nallowed.idleCloseUs=60000000\nreport.columns=rif\ntracks.count=2\n"
+            + "tracks.0.name=read\ntracks.0.effect=retryable\ntracks.0.sloTimeUs=8000000\ntracks.0.importance=1\n"
+            + "tracks.1.name=put\ntracks.1.effect=dedup\ntracks.1.dedupScope=all\ntracks.1.dedupWindowUs=9000000\n"
+            + "tracks.1.sloTimeUs=8000000\ntracks.1.importance=5\n");
+        assertEquals(start.figures.deployment, lines.deployment);
+        assertEquals(lines.deployment.originKind(), new KindId(1));
+        assertEquals(lines.deployment.tracks().get(1).effect(), Effect.DEDUPLICATED);
+        assertTrue(lines.deployment.tellsQueue());
+        assertEquals(List.of(start.figures.tracks, start.figures.customers, start.figures.kinds, start.figures.zones),
+            List.of(List.of("read", "put"), List.of("acme"), List.of("m1", "origin"), List.of("a")));
+        assertEquals(List.of(start.name, start.seed, start.known.revision()), List.of("n1", 0x7fL, 41L));
+    }
+
+    @Test
+    public void placesFitIntoDescriptorsAndMemory() {
+        int all = new ProxyStart(GOOD).places;
+        assertTrue(all < 1024, "the virtual machine has descriptors of its own");
+        assertTrue(new ProxyStart(GOOD.replace(":1024", ":512")).places < all - 500);
+        assertTrue(new ProxyStart(GOOD.replace(":192", ":128")).places < all / 2, "threads count as memory");
+        assertEquals(new ProxyStart(GOOD.replaceFirst("\"limits\":\\{[^}]*\\},", "")).places, all);
+    }
+
+    @DataProvider
+    Object[][] faults() {
+        return new Object[][] {{"{", "BALANCER_CONFIG", "JSON"}, {"[]", "the whole", "object"},
+            {GOOD.replace("\"name\":\"n1\"", "\"x\":1"), "name", "missing"}, {GOOD.replace("\"n1\"", "1"), "name", "text"},
+            {GOOD.replace("\"listen\"", "\"x\""), "listen", "missing"},
+            {GOOD.replace("127.0.0.1:0", "localhost:0"), "listen", "address"},
+            {GOOD.replace("127.0.0.1:8500", "127.0.0.1"), "discovery", "address"},
+            {GOOD.replace("\"seed\":\"7f\"", "\"seed\":\"x\""), "seed", "hexadecimal"},
+            {GOOD.replace(":1024", ":10"), "limits.sockets", "number"},
+            {GOOD.replace(":192", ":\"192\""), "limits.memory_mb", "number"},
+            {GOOD.replace("\"limits\":{", "\"limits\":1,\"x\":{"), "limits", "object"},
+            {GOOD.replace("\"known\"", "\"x\""), "known", "missing"}, {GOOD.replace("\"uid\"", "\"x\""), "known", "uid"},
+            {GOOD.replace("\"settings\"", "\"x\""), "settings", "missing"},
+            {GOOD.replace("\"tracks\"", "\"x\""), "tracks", "missing"},
+            {GOOD.replace("\"retryable\"", "\"often\""), "tracks.0.effect", "unknown"},
+            {GOOD.replace("\"sloTimeUs\":8000000", "\"x\":1"), "tracks.0.sloTimeUs", "missing"},
+            {GOOD.replace("\"allowancePerS\":1000", "\"allowancePerS\":\"x\""), "projects.0.allowancePerS", "number"},
+            {GOOD.replace("\"tickUs\":5000", "\"tickUs\":true"), "tickUs", "number"}};
+    }
+
+    @Test(dataProvider = "faults")
+    public void aFaultIsOneLineThatNamesTheKey(String text, String key, String what) {
+        String line = expectThrows(FaultyKeyException.class, () -> new ProxyStart(text)).getMessage();
+        assertTrue(line.contains(key) && line.contains(what), line);
+        assertFalse(line.contains("\n"));
+    }
+
+    @Test
+    public void theFileIsTheOneThatTheEnvironmentNames() {
+        for (Map<String, String> environment : List.of(Map.<String, String>of(), Map.of("BALANCER_CONFIG", "/none"))) {
+            assertTrue(expectThrows(FaultyKeyException.class, () -> ProxyStart.ofEnvironment(environment))
+                .getMessage().contains("BALANCER_CONFIG"));
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/spurroad/transport/ActorTest.java
@@ -0,0 +1,46 @@
+package spurroad.transport;
+
+import static org.testng.Assert.assertEquals;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.stream.IntStream;
+import org.testng.annotations.Test;
+
+public class ActorTest {
+    private final EventLog log = new EventLog();
+
+    @Test
+    public void messagesRunInOrderOneAtATimeAlsoAfterOneThatFails() throws InterruptedException {
+        Actor actor = new Actor(new Threads(log), log, 1000) { };
+        List<Integer> seen = new ArrayList<>();
+        CountDownLatch done = new CountDownLatch(1);
+        for (int i = 0; i < 500; i++) {
+            int n = i;
+            actor.tell(() -> seen.add(n));
+            if (n == 100) {
+                actor.tell(() -> {
+                    throw new IllegalStateException("on purpose");
+                });
+            }
+        }
+        actor.tell(done::countDown);
+        done.await();
+        assertEquals(seen, IntStream.range(0, 500).boxed().toList());
+    }
+
+    @Test
+    public void roomAndPlacesRunOutAndComeBack() throws InterruptedException {
+        Room room = new Room(10_000);
+        assertEquals(List.of(room.take(8_000), room.take(8_000)), List.of(true, false));
+        room.give(8_000);
+        assertEquals(room.take(8_000), true);
+        Descriptors d = new Descriptors(2 + 2);
+        assertEquals(List.of(d.takeForNode(), d.takeForNode(), d.takeForClient(0), d.takeForClient(0)),
+            List.of(true, false, true, false));
+        d.giveFromNode();
+        d.giveFromClient();
+        assertEquals(List.of(d.takeForNode(), d.takeForClient(0)), List.of(true, true));
+    }
+}
