--- a/src/main/java/spurroad/protocol/MetaCommand.java
+++ b/src/main/java/spurroad/protocol/MetaCommand.java
@@ -84,7 +84,7 @@
         if (c.id.isEmpty()) {
             return fault("CLIENT_ERROR no request id", false);
         }
-        if (c.waitMs() <= 0) {
+        if (c.waitMs() < 0) {
             return fault("CLIENT_ERROR no time to wait", false);
         }
         return c;
--- a/src/test/java/spurroad/protocol/ParsersTest.java
+++ b/src/test/java/spurroad/protocol/ParsersTest.java
@@ -78,6 +78,12 @@
         }
     }
 
+    /** A late retry: `d=0` was answered CLIENT_ERROR, which fails it, where a rejection is due. */
+    @Test
+    public void aClientMayHaveNoTimeLeft() throws IOException {
+        assertEquals(MetaCommand.read(source("mg k v O1 Pc=read,d=0\r\n")).kind, MetaCommand.Kind.READ);
+    }
+
     @Test
     public void aCommandTellsWhatDecisionsNeed() throws IOException {
         MetaCommand c = MetaCommand.read(source("mg k v O1 Pc=read,t=acme,d=480,r=1,h=900,size=20\r\n"));
