One class owns each socket and its place; log lines last beyond SIGTERM; stuck commands make room

The log of a probe lacked the lines of the end: the library drops its handlers on SIGTERM. Clients that never finish a command no longer hold a place for good, and a place that is short is asked for at once rather than after 20 ms.

--- a/src/main/java/spurroad/program/Main.java
+++ b/src/main/java/spurroad/program/Main.java
@@ -32,6 +32,7 @@
 
     private static void serve() throws InterruptedException {
         // the standard library's own lines are two each, and name the class that logs rather than what happened
+        System.setProperty("java.util.logging.manager", LastingLogs.class.getName());
         System.getProperties().putIfAbsent(LINE_PROPERTY, "%1$tFT%1$tT.%1$tL %4$s %5$s%6$s%n");
         try {
             ProxyStart start = ProxyStart.ofEnvironment(System.getenv());
--- a/src/main/java/spurroad/program/Service.java
+++ b/src/main/java/spurroad/program/Service.java
@@ -27,7 +27,7 @@
         Clock clock = new Clock();
         Descriptors descriptors = new Descriptors(start.places);
         Decider decider = new Decider(start, threads, log, clock, descriptors);
-        clients = new Clients(start, threads, log, clock, decider, descriptors);
+        clients = new Clients(start, threads, log, clock, decider);
         listener = new Listener(start.listen, descriptors, clients, log);
         decider.follows(new ListWatch(start, threads, log, decider));
         decider.listed(start.known);
--- a/src/main/java/spurroad/routing/ClientConnection.java
+++ b/src/main/java/spurroad/routing/ClientConnection.java
@@ -1,8 +1,6 @@
 package spurroad.routing;
 
 import java.io.IOException;
-import java.io.OutputStream;
-import java.net.Socket;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
@@ -15,7 +13,7 @@
 import spurroad.protocol.MetaCommand;
 import spurroad.protocol.MetaReply;
 import spurroad.transport.Actor;
-import spurroad.transport.Sockets;
+import spurroad.transport.Connection;
 import spurroad.transport.Threads;
 
 /**
@@ -27,7 +25,7 @@
     private static final int MOST_WAITING = 32; // commands; read ahead of their answers
     private static final int MAILBOX = 8 * MOST_WAITING; // messages; some for each command
     private static final int CLOSED = Integer.MIN_VALUE / 2; // far below zero, whatever is still counted down
-    private static final long SLOW_NS = 10_000_000_000L; // ns; a client that takes nothing so long is gone
+    private static final long SLOW_NS = 10_000_000_000L; // ns; a client that takes or sends nothing so long is gone
 
     /** The place of one command's answer in the order of answers. */
     private static final class Slot {
@@ -38,25 +36,26 @@
     }
 
     private final Clients clients;
-    private final Socket socket;
+    private final Connection connection;
     private final Semaphore ahead = new Semaphore(MOST_WAITING);
     // commands begun and not yet answered whole; below zero once closed between two of them
     private final AtomicInteger open = new AtomicInteger();
     volatile long idleSince;
+    private volatile long begunAt = Long.MAX_VALUE;
     // the actor's
     private final Deque<Slot> slots = new ArrayDeque<>();
     private boolean writing, closed;
 
-    ClientConnection(Clients clients, Socket socket) {
+    ClientConnection(Clients clients, Connection connection) {
         super(clients.threads, clients.log, MAILBOX);
         this.clients = clients;
-        this.socket = socket;
+        this.connection = connection;
         idleSince = clients.clock.now();
     }
 
     @Override
     public String toString() {
-        return "client " + socket.getRemoteSocketAddress();
+        return "client " + connection;
     }
 
     // ---- the reader thread
@@ -64,11 +63,13 @@
     @Override
     public void run() {
         try {
-            ByteSource in = new ByteSource(Sockets.set(socket).getInputStream());
+            ByteSource in = new ByteSource(connection.in());
             boolean more = true;
             while (more && in.await() && open.getAndUpdate(n -> n < 0 ? n : n + 1) >= 0) {
+                begunAt = clients.clock.now();
                 MetaCommand command = MetaCommand.read(in);
                 long at = clients.clock.now();
+                begunAt = Long.MAX_VALUE;
                 ahead.acquire();
                 tell(() -> taken(command, at));
                 more = !command.lost;
@@ -80,7 +81,7 @@
             // a client that goes breaks its connection; told below
         } finally {
             tell(this::left);
-            Sockets.close(socket);
+            connection.end();
             clients.ended(this);
         }
     }
@@ -141,7 +142,7 @@
         }
         if (!ready.isEmpty()) {
             writing = true;
-            Threads.Alarm slow = clients.threads.after(SLOW_NS, () -> Sockets.close(socket));
+            Threads.Alarm slow = clients.threads.after(SLOW_NS, connection::close);
             clients.threads.run(() -> write(ready, slow));
         }
     }
@@ -149,12 +150,11 @@
     /** On a thread that may wait; a client that can't be written to has its reader end, too. */
     private void write(List<Slot> ready, Threads.Alarm slow) {
         try {
-            OutputStream out = socket.getOutputStream();
             for (Slot slot : ready) {
-                out.write(slot.answer);
+                connection.write(slot.answer);
             }
         } catch (IOException e) {
-            Sockets.close(socket);
+            connection.close();
         }
         slow.cancel();
         tell(() -> written(ready));
@@ -191,7 +191,7 @@
         closed = true;
         slots.forEach(this::giveRoom);
         slots.clear();
-        Sockets.close(socket);
+        connection.close();
         ahead.release(MOST_WAITING);
     }
 
@@ -201,16 +201,17 @@
 
     /** Closes it between two commands, from any thread; one that the reader has begun keeps it open. */
     boolean closeIfIdle() {
-        boolean unread;
-        try {
-            unread = socket.getInputStream().available() > 0;
-        } catch (IOException e) {
-            unread = false;
-        }
-        boolean done = !unread && open.compareAndSet(0, CLOSED);
+        boolean done = !connection.unread() && open.compareAndSet(0, CLOSED);
         if (done) {
-            Sockets.close(socket);
+            connection.close();
         }
         return done;
     }
+
+    /** Closes it where the rest of a command has not come for long: that was never taken. */
+    void closeIfStuck() {
+        if (clients.clock.now() - SLOW_NS > begunAt) {
+            connection.close();
+        }
+    }
 }
--- a/src/main/java/spurroad/routing/Clients.java
+++ b/src/main/java/spurroad/routing/Clients.java
@@ -1,16 +1,14 @@
 package spurroad.routing;
 
-import java.net.Socket;
 import java.util.Comparator;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import spurroad.start.ProxyStart;
 import spurroad.transport.Clock;
-import spurroad.transport.Descriptors;
+import spurroad.transport.Connection;
 import spurroad.transport.EventLog;
 import spurroad.transport.Listener;
 import spurroad.transport.Room;
-import spurroad.transport.Sockets;
 import spurroad.transport.Threads;
 
 /** All connections of clients, and what they share. */
@@ -26,32 +24,29 @@
     final Clock clock;
     final Decider decider;
     final Room room;
-    private final Descriptors descriptors;
     private final Set<ClientConnection> connections = ConcurrentHashMap.newKeySet();
     private volatile boolean ending;
 
-    public Clients(ProxyStart start, Threads threads, EventLog log, Clock clock, Decider decider,
-                   Descriptors descriptors) {
+    public Clients(ProxyStart start, Threads threads, EventLog log, Clock clock, Decider decider) {
         this.start = start;
         this.threads = threads;
         this.log = log;
         this.clock = clock;
         this.decider = decider;
-        this.descriptors = descriptors;
         long memory = Math.min(start.memoryMb * MIB / ROOM_SHARE, Runtime.getRuntime().maxMemory() / HEAP_SHARE);
         room = new Room(Math.min(memory, (long) start.figures.mostOpen * QUERY_BYTES));
     }
 
     @Override
-    public void accepted(Socket s) {
-        ClientConnection c = new ClientConnection(this, s);
+    public void accepted(Connection connection) {
+        ClientConnection c = new ClientConnection(this, connection);
         connections.add(c);
         try {
             threads.start("client", c);
         } catch (OutOfMemoryError e) {
             log.trouble("no thread for a client", e.getMessage());
-            Sockets.close(s);
-            ended(c);
+            connections.remove(c);
+            connection.end();
         }
     }
 
@@ -61,11 +56,11 @@
         log.trouble("no descriptor left for clients", connections.size() + " connected");
         connections.stream().filter(ClientConnection::idle)
             .min(Comparator.comparingLong(c -> c.idleSince)).ifPresent(ClientConnection::closeIfIdle);
+        connections.forEach(ClientConnection::closeIfStuck);
     }
 
     void ended(ClientConnection c) {
         connections.remove(c);
-        descriptors.giveFromClient();
     }
 
     boolean ending() {
--- a/src/main/java/spurroad/routing/ListWatch.java
+++ b/src/main/java/spurroad/routing/ListWatch.java
@@ -2,7 +2,6 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.net.Socket;
 import java.util.Map;
 import spurroad.protocol.ByteSource;
 import spurroad.protocol.Http;
@@ -11,8 +10,8 @@
 import spurroad.protocol.ProtocolException;
 import spurroad.start.ProxyStart;
 import spurroad.transport.Actor;
+import spurroad.transport.Connection;
 import spurroad.transport.EventLog;
-import spurroad.transport.Sockets;
 import spurroad.transport.Threads;
 
 /** The list's actor: keeps its revision and at most one watch, which a thread of its connection reads. */
@@ -58,15 +57,14 @@
 
     /** On a thread of the watch's own, which owns its socket. */
     private void watch(long since) {
-        Socket socket = new Socket();
+        Connection connection = new Connection(() -> { });
         String why = "it ended";
         try {
-            socket.connect(discovery, CONNECT_MS);
-            Sockets.set(socket).setSoTimeout(SILENT_MS);
+            connection.connect(discovery, CONNECT_MS);
+            connection.mostSilence(SILENT_MS);
             String host = discovery.getHostString() + ":" + discovery.getPort();
-            socket.getOutputStream().write(
-                Http.get("/catalog/members?follow=1&since=" + since, host, Map.of()));
-            ByteSource in = new ByteSource(socket.getInputStream());
+            connection.write(Http.get("/catalog/members?follow=1&since=" + since, host, Map.of()));
+            ByteSource in = new ByteSource(connection.in());
             Http.Head head = Http.head(in);
             if (head.status() != OK) {
                 throw new ProtocolException("answered " + head.status());
@@ -81,7 +79,7 @@
         } catch (IOException e) {
             why = e.toString();
         } finally {
-            Sockets.close(socket);
+            connection.end();
         }
         String because = why;
         tell(() -> failed(because));
--- a/src/main/java/spurroad/routing/NodeActor.java
+++ b/src/main/java/spurroad/routing/NodeActor.java
@@ -137,8 +137,7 @@
             around.threads.start("node", e.connection);
         } catch (OutOfMemoryError none) {
             around.log.trouble("no thread for a node", none.getMessage());
-            placeBack();
-            broken(e.connection);
+            e.connection.never();
         }
     }
 
--- a/src/main/java/spurroad/routing/NodeConnection.java
+++ b/src/main/java/spurroad/routing/NodeConnection.java
@@ -2,11 +2,10 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.net.Socket;
 import spurroad.protocol.ByteSource;
 import spurroad.protocol.ProtocolException;
 import spurroad.protocol.Reply;
-import spurroad.transport.Sockets;
+import spurroad.transport.Connection;
 
 /**
  * One connection to a node, with a thread that connects, sends the first errand and reads for as long as it lasts; it
@@ -18,7 +17,7 @@
     private final Dialect dialect;
     private final InetSocketAddress endpoint;
     private final int connectMs;
-    private final Socket socket = new Socket();
+    private final Connection connection;
     /** What it carries now, set by the actor alone; null while idle. */
     volatile Errand errand;
     // the actor's
@@ -34,16 +33,16 @@
         this.generation = generation;
         connectMs = (int) Math.max(1, connectNs / NS_PER_MS);
         errand = first;
+        connection = new Connection(node::placeBack);
     }
 
     @Override
     public void run() {
         Errand first = errand;
         try {
-            socket.connect(endpoint, connectMs);
-            Sockets.set(socket);
+            connection.connect(endpoint, connectMs);
+            ByteSource in = new ByteSource(connection.in());
             write(first);
-            ByteSource in = new ByteSource(socket.getInputStream());
             while (in.await()) {
                 Errand e = errand;
                 if (e == null) {
@@ -57,8 +56,7 @@
         } catch (IOException e) {
             // what it means for the errand depends on what was written; the actor tells
         } finally {
-            Sockets.close(socket);
-            node.placeBack();
+            connection.end();
             node.tell(() -> node.broken(this));
         }
     }
@@ -68,15 +66,21 @@
         long waitMs = Math.max(1, (e.until - node.now()) / NS_PER_MS);
         e.written = true;
         try {
-            socket.getOutputStream().write(dialect.message(e.command(), waitMs));
+            connection.write(dialect.message(e.command(), waitMs));
         } catch (IOException broken) {
             e.written = false;
-            Sockets.close(socket);
+            connection.close();
         }
     }
 
+    /** Where there is no thread for it. */
+    void never() {
+        connection.end();
+        node.broken(this);
+    }
+
     void close() {
         closed = true;
-        Sockets.close(socket);
+        connection.close();
     }
 }
--- /dev/null
+++ b/src/main/java/spurroad/transport/Connection.java
@@ -0,0 +1,77 @@
+package spurroad.transport;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.net.SocketException;
+
+/**
+ * One socket and its place among the descriptors. Any thread may close it, which wakes those that wait for it; the one
+ * that reads it ends it last, and only there the place is given back.
+ */
+public final class Connection {
+    private final Socket socket;
+    private final Runnable placeBack;
+
+    /** A connection that is still to be made. */
+    public Connection(Runnable placeBack) {
+        this(new Socket(), placeBack);
+    }
+
+    /** One that was accepted. */
+    public Connection(Socket socket, Runnable placeBack) {
+        this.socket = socket;
+        this.placeBack = placeBack;
+    }
+
+    public void connect(InetSocketAddress to, int mostMs) throws IOException {
+        socket.connect(to, mostMs);
+    }
+
+    /** Reads fail after so long a silence; without this they wait for ever. */
+    public void mostSilence(int ms) throws SocketException {
+        socket.setSoTimeout(ms);
+    }
+
+    /** What comes in. Small writes go out at once from here on: an answer waits for nothing that may follow. */
+    public InputStream in() throws IOException {
+        socket.setTcpNoDelay(true);
+        return socket.getInputStream();
+    }
+
+    /** Returns once the system has taken the last byte; may wait for a slow peer. */
+    public void write(byte[] message) throws IOException {
+        OutputStream out = socket.getOutputStream();
+        out.write(message);
+    }
+
+    /** Whether something came in that nobody has read. */
+    public boolean unread() {
+        try {
+            return socket.getInputStream().available() > 0;
+        } catch (IOException e) {
+            return false; // closed
+        }
+    }
+
+    public void close() {
+        try {
+            socket.close();
+        } catch (IOException e) {
+            // it is closed all the same
+        }
+    }
+
+    /** To be called once, by the thread that reads it, when that ends. */
+    public void end() {
+        close();
+        placeBack.run();
+    }
+
+    @Override
+    public String toString() {
+        return String.valueOf(socket.getRemoteSocketAddress());
+    }
+}
--- a/src/main/java/spurroad/transport/Listener.java
+++ b/src/main/java/spurroad/transport/Listener.java
@@ -3,23 +3,22 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
-import java.net.Socket;
 import java.net.SocketTimeoutException;
 import java.util.concurrent.CountDownLatch;
 
 /** Owns the listening socket; its thread takes a place for a client before it accepts one. */
 public final class Listener {
-    /** Gets accepted sockets, whose place it then owns, and is asked for places when there is none. */
+    /** Gets accepted connections, and is asked for places when there is none. */
     public interface Door {
-        void accepted(Socket s);
+        void accepted(Connection c);
 
         void placesNeeded();
     }
 
     private static final int BACKLOG = 1024; // connections; a burst of clients after a restart
-    private static final long ASK_NS = 20_000_000L; // ns; how long a place is waited for before clients are asked
+    private static final long ASK_NS = 20_000_000L; // ns; how long a place is waited for until clients are asked again
     private static final long REST_MS = 20; // ms; after a failed accept, which may fail again at once
-    private static final int LAST_MS = 20; // ms; without a further connection, before the socket is closed
+    private static final int LAST_MS = 50; // ms; without a further connection, before the socket is closed
 
     private final ServerSocket socket;
     private final Descriptors descriptors;
@@ -48,7 +47,7 @@
         while (more) {
             boolean last = ending;
             try {
-                while (!descriptors.takeForClient(ASK_NS)) {
+                for (boolean got = descriptors.takeForClient(0); !got; got = descriptors.takeForClient(ASK_NS)) {
                     door.placesNeeded();
                 }
                 more = accept() || !last;
@@ -56,14 +55,17 @@
                 more = false;
             }
         }
-        Sockets.close(socket);
+        try {
+            socket.close();
+        } catch (IOException e) {
+            log.trouble("the listening socket can't be closed", e.getMessage());
+        }
         ended.countDown();
     }
 
     private boolean accept() throws InterruptedException {
         try {
-            Socket s = socket.accept();
-            door.accepted(s);
+            door.accepted(new Connection(socket.accept(), descriptors::giveFromClient));
             return true;
         } catch (SocketTimeoutException e) {
             descriptors.giveFromClient();
