Answers that slow clients leave lying count towards the room for queries

A probe with 400 clients that read nothing of 64 KiB values: answers were not counted, only queries were, so memory was bounded by socket buffers and luck. Now they are; where they overdraw the room, clients that have taken nothing for a second are closed.

--- a/src/main/java/spurroad/routing/ClientConnection.java
+++ b/src/main/java/spurroad/routing/ClientConnection.java
@@ -22,15 +22,17 @@
  * slow client.
  */
 final class ClientConnection extends Actor implements Runnable {
-    private static final int MOST_WAITING = 32; // commands; read ahead of their answers
+    private static final int MOST_WAITING = 16; // commands; read ahead of their answers
     private static final int MAILBOX = 8 * MOST_WAITING; // messages; some for each command
     private static final int CLOSED = Integer.MIN_VALUE / 2; // far below zero, whatever is still counted down
     private static final long SLOW_NS = 10_000_000_000L; // ns; a client that takes or sends nothing so long is gone
 
+    private static final long HOLDING_NS = 1_000_000_000L; // ns; the same where memory is short: a long pause of a peer
+
     /** The place of one command's answer in the order of answers. */
     private static final class Slot {
         private Query query;
-        private long room;
+        private long queryRoom, answerRoom;
         private byte[] answer;
         private boolean last;
     }
@@ -41,7 +43,7 @@
     // commands begun and not yet answered whole; below zero once closed between two of them
     private final AtomicInteger open = new AtomicInteger();
     volatile long idleSince;
-    private volatile long begunAt = Long.MAX_VALUE;
+    private volatile long begunAt = Long.MAX_VALUE, writingSince = Long.MAX_VALUE;
     // the actor's
     private final Deque<Slot> slots = new ArrayDeque<>();
     private boolean writing, closed;
@@ -117,7 +119,7 @@
             clients.log.trouble("no room for a query", this);
             slot.answer = MetaReply.rejected(0);
         } else {
-            slot.room = Clients.QUERY_BYTES + command.value.length;
+            slot.queryRoom = Clients.QUERY_BYTES + command.value.length;
             slot.query = new Query(this, command, new TrackId(track), new CustomerId(customer), at);
             clients.decider.arrived(slot.query);
         }
@@ -129,6 +131,8 @@
             for (Slot slot : slots) {
                 if (slot.query == q) {
                     slot.answer = answer;
+                    slot.answerRoom = answer.length;
+                    clients.owe(answer.length);
                 }
             }
             flush();
@@ -142,6 +146,7 @@
         }
         if (!ready.isEmpty()) {
             writing = true;
+            writingSince = clients.clock.now();
             Threads.Alarm slow = clients.threads.after(SLOW_NS, connection::close);
             clients.threads.run(() -> write(ready, slow));
         }
@@ -162,6 +167,7 @@
 
     private void written(List<Slot> ready) {
         writing = false;
+        writingSince = Long.MAX_VALUE;
         ready.forEach(this::giveRoom);
         ahead.release(ready.size());
         idleSince = clients.clock.now();
@@ -174,8 +180,9 @@
     }
 
     private void giveRoom(Slot slot) {
-        clients.room.give(slot.room);
-        slot.room = 0;
+        clients.room.give(slot.queryRoom);
+        clients.room.give(slot.answerRoom);
+        slot.queryRoom = slot.answerRoom = 0;
     }
 
     private void left() {
@@ -208,6 +215,13 @@
         return done;
     }
 
+    /** Closes it where the client takes its answers too slowly for the memory that they hold. */
+    void closeIfSlow() {
+        if (clients.clock.now() - HOLDING_NS > writingSince) {
+            connection.close();
+        }
+    }
+
     /** Closes it where the rest of a command has not come for long: that was never taken. */
     void closeIfStuck() {
         if (clients.clock.now() - SLOW_NS > begunAt) {
--- a/src/main/java/spurroad/routing/Clients.java
+++ b/src/main/java/spurroad/routing/Clients.java
@@ -63,6 +63,15 @@
         connections.remove(c);
     }
 
+    /** Takes room for an answer; where that leaves too little, clients that take theirs too slowly are closed. */
+    void owe(long bytes) {
+        room.owe(bytes);
+        if (room.overdrawn()) {
+            log.trouble("answers hold more memory than there is room for", connections.size() + " connected");
+            connections.forEach(ClientConnection::closeIfSlow);
+        }
+    }
+
     boolean ending() {
         return ending;
     }
--- a/src/main/java/spurroad/transport/Room.java
+++ b/src/main/java/spurroad/transport/Room.java
@@ -5,10 +5,10 @@
 /** The bytes that all queries under way may hold at once. Whoever takes some gives them back once. */
 public final class Room {
     private static final int UNIT = 1024; // bytes; counted in these
-    private final Semaphore free;
+    private final Free free;
 
     public Room(long bytes) {
-        free = new Semaphore((int) Math.min(Integer.MAX_VALUE, bytes / UNIT));
+        free = new Free((int) Math.min(Integer.MAX_VALUE, bytes / UNIT));
     }
 
     /** Takes room for that many bytes if there is enough. */
@@ -16,10 +16,33 @@
         return free.tryAcquire(units(bytes));
     }
 
+    /** Takes room that is needed whether there is any or not; nothing more is let in until it is given back. */
+    public void owe(long bytes) {
+        free.reduce(units(bytes));
+    }
+
+    /** Whether more is held than there is room for. */
+    public boolean overdrawn() {
+        return free.availablePermits() < 0;
+    }
+
     public void give(long bytes) {
         free.release(units(bytes));
     }
 
+    /** A semaphore whose permits may go below zero. */
+    private static final class Free extends Semaphore {
+        private static final long serialVersionUID = 1L;
+
+        private Free(int permits) {
+            super(permits);
+        }
+
+        private void reduce(int permits) {
+            reducePermits(permits);
+        }
+    }
+
     private static int units(long bytes) {
         return (int) ((bytes + UNIT - 1) / UNIT);
     }
--- a/src/test/java/spurroad/transport/ActorTest.java
+++ b/src/test/java/spurroad/transport/ActorTest.java
@@ -36,6 +36,10 @@
         assertEquals(List.of(room.take(8_000), room.take(8_000)), List.of(true, false));
         room.give(8_000);
         assertEquals(room.take(8_000), true);
+        room.owe(20_000);
+        assertEquals(List.of(room.overdrawn(), room.take(1)), List.of(true, false));
+        room.give(20_000);
+        assertEquals(List.of(room.overdrawn(), room.take(1)), List.of(false, true));
         Descriptors d = new Descriptors(2 + 2);
         assertEquals(List.of(d.takeForNode(), d.takeForNode(), d.takeForClient(0), d.takeForClient(0)),
             List.of(true, false, true, false));
