--- a/src/main/java/spurroad/routing/Decider.java
+++ b/src/main/java/spurroad/routing/Decider.java
@@ -47,6 +47,7 @@
     private final NodeActor.Surroundings around;
     private final Map<NodeId, NodeActor> nodes = new HashMap<>();
     private final Map<QueryId, Query> queries = new HashMap<>();
+    private final Tally tally = new Tally();
     private Follow follow;
     private long queryCount, wakeNs = Long.MAX_VALUE;
 
@@ -90,6 +91,7 @@
         mailbox.tell(() -> {
             q.id = new QueryId(queryCount++);
             queries.put(q.id, q);
+            tally.arrived();
             long now = clock.now();
             MetaCommand c = q.command;
             // the answer's way back counts too: it is to leave a tick before the client's time is over
@@ -110,6 +112,7 @@
         mailbox.tell(() -> {
             if (!q.over) {
                 q.over = true;
+                tally.left();
                 balance.left(clock.now(), q.id, fresh());
                 carryOut();
                 forget(q);
@@ -125,8 +128,10 @@
             balance.probed(clock.now(), e.node.id(), reply.outcome(), reply.load(), fresh());
         } else {
             q.out--;
+            tally.ended(reply.outcome());
             if (reply.outcome() == Outcome.COMPLETED && !q.over) {
                 q.over = true;
+                tally.completed();
                 q.client.answer(q, reply.answer());
             }
             balance.ended(clock.now(), q.id, e.number, reply.outcome(), reply.note(), reply.load(), q.over, fresh());
@@ -207,6 +212,10 @@
     private void carryOut() {
         wakeNs = decisions.wakeNs;
         long now = clock.now();
+        String line = tally.due(now);
+        if (line != null) {
+            log.event("work", line);
+        }
         for (Decisions.Start s : decisions.starts) {
             Query q = queries.get(s.query());
             Errand e = new Errand(q, q.executions.size(), nodes.get(s.node()), now + s.allowNs());
@@ -223,6 +232,7 @@
             Query q = queries.get(a.query());
             if (!q.over) {
                 q.over = true;
+                tally.answered(a.rejected());
                 q.client.answer(q, a.rejected() ? MetaReply.rejected(a.comeBackNs() / NS_PER_MS)
                     : MetaReply.aborted());
             }
--- a/src/main/java/spurroad/routing/NodeActor.java
+++ b/src/main/java/spurroad/routing/NodeActor.java
@@ -1,7 +1,6 @@
 package spurroad.routing;
 
 import java.io.IOException;
-import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import spurroad.model.CacheNote;
@@ -33,7 +32,7 @@
 
     private final Surroundings around;
     private final NodeId id;
-    private final String name;
+    private volatile String name;
     private final Deque<NodeConnection> idle = new ArrayDeque<>();
     private final long keepNs;
     private Dialect dialect;
@@ -44,16 +43,16 @@
     NodeActor(Surroundings around, Member member, boolean origin) {
         super(around.threads, around.log, MAILBOX);
         this.around = around;
-        this.member = member;
         id = member.entry().id();
         keepNs = (long) (around.idleNs * KEPT);
-        dialect = dialect(member, origin);
-        name = (origin ? "origin " : "cache node ") + member.endpoint();
+        reachedAt(member, origin);
     }
 
-    private static Dialect dialect(Member member, boolean origin) {
-        InetSocketAddress at = member.endpoint();
-        return origin ? Dialect.origin(at.getHostString() + ":" + at.getPort()) : Dialect.CACHE;
+    private void reachedAt(Member at, boolean origin) {
+        member = at;
+        String endpoint = at.endpoint().getHostString() + ":" + at.endpoint().getPort();
+        dialect = origin ? Dialect.origin(endpoint) : Dialect.CACHE;
+        name = (origin ? "origin " : "cache node ") + endpoint;
     }
 
     @Override
@@ -75,10 +74,9 @@
     void listed(Member now, boolean origin) {
         boolean other = !now.endpoint().equals(member.endpoint())
             || now.entry().startedNs() != member.entry().startedNs();
-        member = now;
+        reachedAt(now, origin);
         if (other) {
             generation++;
-            dialect = dialect(now, origin);
             closeIdle();
         }
     }
@@ -168,6 +166,10 @@
     private void end(Errand e, Reply reply) {
         e.ended = true;
         e.alarm.cancel();
+        if (reply.outcome() == Outcome.ERROR || !reply.outcome().answered() && reply.outcome() != Outcome.CANCELLED) {
+            around.log.trouble(e.query == null ? "a probe failed" : "an execution failed",
+                name + ", " + reply.outcome());
+        }
         around.ended.ended(e, reply);
     }
 
@@ -207,7 +209,7 @@
         around.descriptors.giveFromNode();
     }
 
-    void unusable(InetSocketAddress from, IOException why) {
-        around.log.trouble("a node's answer can't be used", name + " at " + from + ", " + why.getMessage());
+    void unusable(IOException why) {
+        around.log.trouble("a node's answer can't be used", name + ", " + why.getMessage());
     }
 }
--- a/src/main/java/spurroad/routing/NodeConnection.java
+++ b/src/main/java/spurroad/routing/NodeConnection.java
@@ -52,7 +52,7 @@
                 node.tell(() -> node.replied(this, e, reply));
             }
         } catch (ProtocolException e) {
-            node.unusable(endpoint, e);
+            node.unusable(e);
         } catch (IOException e) {
             // what it means for the errand depends on what was written; the actor tells
         } finally {
--- /dev/null
+++ b/src/main/java/spurroad/routing/Tally.java
@@ -0,0 +1,48 @@
+package spurroad.routing;
+
+import java.util.EnumMap;
+import java.util.Map;
+import spurroad.model.Outcome;
+
+/** What became of queries and executions since the last line about it; the module's actor keeps it. */
+final class Tally {
+    private static final long APART_NS = 10_000_000_000L; // ns; short beside a trouble, long beside reading it
+    private final Map<Outcome, Integer> executions = new EnumMap<>(Outcome.class);
+    private int queries, completed, rejected, aborted, left;
+    private long since;
+
+    void arrived() {
+        queries++;
+    }
+
+    void completed() {
+        completed++;
+    }
+
+    void answered(boolean reject) {
+        rejected += reject ? 1 : 0;
+        aborted += reject ? 0 : 1;
+    }
+
+    void left() {
+        left++;
+    }
+
+    void ended(Outcome outcome) {
+        executions.merge(outcome, 1, Integer::sum);
+    }
+
+    /** A line once enough time has passed, and a new start; else null. */
+    String due(long now) {
+        since = since == 0 ? now : since;
+        if (now - since < APART_NS || queries + executions.size() == 0) {
+            return null;
+        }
+        String line = queries + " queries in " + (now - since) / 1_000_000_000L + " s, " + completed + " completed, "
+            + rejected + " rejected, " + aborted + " aborted, " + left + " left by clients; executions " + executions;
+        queries = completed = rejected = aborted = left = 0;
+        executions.clear();
+        since = now;
+        return line;
+    }
+}
