--- a/src/main/java/spurroad/program/Service.java
+++ b/src/main/java/spurroad/program/Service.java
@@ -15,7 +15,7 @@
 public final class Service {
     private static final long STILL_ACCEPT_MS = 500; // ms; new connections go on coming for up to 400 ms
     private static final long LOOK_MS = 5; // ms; how often it is looked whether all clients are gone
-    private static final long LONGEST_END_MS = 5_000; // ms; longer than any client waits
+    private static final long LONGEST_END_NS = 10_000_000_000L; // ns; longer than clients wait
 
     private final EventLog log = new EventLog();
     private final Listener listener;
@@ -46,7 +46,7 @@
         log.event("ending", clients.count() + " clients connected");
         Thread.sleep(STILL_ACCEPT_MS);
         listener.end();
-        long until = System.nanoTime() + LONGEST_END_MS * 1_000_000;
+        long until = System.nanoTime() + LONGEST_END_NS;
         clients.end();
         while (clients.count() > 0 && System.nanoTime() < until) {
             Thread.sleep(LOOK_MS);
--- a/src/main/java/spurroad/protocol/Http.java
+++ b/src/main/java/spurroad/protocol/Http.java
@@ -15,7 +15,7 @@
 public final class Http {
     private static final int MOST_HEAD_LINE = 8192; // bytes; the usual bound of servers
     private static final int MOST_HEADERS = 100; // lines; the usual bound of servers
-    private static final int MOST_LIST_LINE = 4 * 1024 * 1024; // bytes; a list of ten thousand nodes
+    private static final int MOST_LIST_LINE = 1024 * 1024; // bytes; six thousand nodes, which the heap still holds
     private static final String PLAIN = "-._~"; // besides letters and digits, what a path holds as it is
 
     /** The first line and the headers of an answer, by their names in small letters. */
--- a/src/main/java/spurroad/protocol/Members.java
+++ b/src/main/java/spurroad/protocol/Members.java
@@ -23,6 +23,9 @@
     private static final long NS_PER_MS = 1_000_000L;
     private static final long FNV_START = 0xcbf29ce484222325L; // FNV-1a of 64 bits
     private static final long FNV_TIMES = 0x100000001b3L;
+    private static final String BYTE = "(25[0-5]|2[0-4][0-9]|1?[0-9]?[0-9])"; // of an address
+    private static final String IPV4 = "(" + BYTE + "\\.){3}" + BYTE;
+    private static final String IPV6 = "\\[[0-9a-fA-F:.]+\\]"; // what is none of these is refused without a look-up
     private static final int OTHERS = 1 << 16; // numbers from here on stand for names that are not in the figures
 
     public static Members read(Object json, Names names) throws ProtocolException {
@@ -59,10 +62,12 @@
         int cut = text.lastIndexOf(':');
         long port = cut < 0 ? -1 : Numbers.whole(text.substring(cut + 1));
         String host = cut < 0 ? "" : text.substring(0, cut);
-        if (port < 0 || port > 65535 || !host.matches("[0-9.]+|\\[[0-9a-fA-F:.]+\\]")) {
+        boolean literal = host.matches(IPV4) || host.matches(IPV6);
+        InetSocketAddress at = literal && port >= 0 && port <= 65535 ? new InetSocketAddress(host, (int) port) : null;
+        if (at == null || at.isUnresolved()) {
             throw new ProtocolException(text + " is no address and port");
         }
-        return new InetSocketAddress(host, (int) port);
+        return at;
     }
 
     private static int place(List<String> names, String name) {
--- a/src/main/java/spurroad/routing/NodeActor.java
+++ b/src/main/java/spurroad/routing/NodeActor.java
@@ -38,7 +38,7 @@
     private Dialect dialect;
     private Member member;
     private int generation;
-    private boolean gone;
+    private boolean gone, idleWatched;
 
     NodeActor(Surroundings around, Member member, boolean origin) {
         super(around.threads, around.log, MAILBOX);
@@ -150,6 +150,18 @@
         }
     }
 
+    /** One alarm at a time, however many connections come and go. */
+    private void watchIdle() {
+        if (!idle.isEmpty() && !idleWatched) {
+            idleWatched = true;
+            around.threads.after(idle.peekFirst().idleSince + keepNs - now(), () -> tell(() -> {
+                idleWatched = false;
+                closeLongIdle();
+                watchIdle();
+            }));
+        }
+    }
+
     private void timedOut(Errand e) {
         if (!e.ended) {
             leave(e);
@@ -187,7 +199,7 @@
         if (reply.more() && !gone && c.generation == generation) {
             c.idleSince = now();
             idle.addLast(c);
-            around.threads.after(keepNs, () -> tell(this::closeLongIdle));
+            watchIdle();
         } else {
             c.close();
         }
--- a/src/main/java/spurroad/routing/Tally.java
+++ b/src/main/java/spurroad/routing/Tally.java
@@ -6,6 +6,7 @@
 
 /** What became of queries and executions since the last line about it; the module's actor keeps it. */
 final class Tally {
+    private static final long NS_PER_S = 1_000_000_000L;
     private static final long APART_NS = 10_000_000_000L; // ns; short beside a trouble, long beside reading it
     private final Map<Outcome, Integer> executions = new EnumMap<>(Outcome.class);
     private int queries, completed, rejected, aborted, left;
@@ -38,7 +39,7 @@
         if (now - since < APART_NS || queries + executions.size() == 0) {
             return null;
         }
-        String line = queries + " queries in " + (now - since) / 1_000_000_000L + " s, " + completed + " completed, "
+        String line = queries + " queries in " + (now - since) / NS_PER_S + " s, " + completed + " completed, "
             + rejected + " rejected, " + aborted + " aborted, " + left + " left by clients; executions " + executions;
         queries = completed = rejected = aborted = left = 0;
         executions.clear();
--- a/src/main/java/spurroad/start/StartFigures.java
+++ b/src/main/java/spurroad/start/StartFigures.java
@@ -16,7 +16,6 @@
     private static final long NS_PER_US = 1_000L;
     private static final long CONNECT_NS = 1_000_000_000L; // ns; where no limit is told: a lost packet sent again
     private static final int MOST_OPEN = 20_000; // queries; where no limit is told
-    private final Figures figures;
     public final Deployment deployment;
     public final List<String> reportColumns;
     /** Whether list entries carry a steady size. */
@@ -37,7 +36,6 @@
     }
 
     private StartFigures(Figures figures) {
-        this.figures = figures;
         String weights = figures.text("weights", "off");
         weighted = weights.equals("nominal") || weights.equals("rough");
         reportColumns = figures.list("report.columns");
@@ -47,13 +45,13 @@
         customers = figures.each("projects", "name");
         kinds = figures.list("kinds");
         zones = figures.list("failureDomains");
-        deployment = deployment();
+        deployment = deployment(figures, reportColumns);
     }
 
-    private Deployment deployment() {
+    private static Deployment deployment(Figures figures, List<String> reportColumns) {
         List<Track> read = new ArrayList<>();
         for (int i = 0, n = (int) figures.needNumber("tracks.count"); i < n; i++) {
-            read.add(track("tracks." + i + "."));
+            read.add(track(figures, "tracks." + i + "."));
         }
         double proxies = Math.max(1, figures.number("balancers", 1));
         List<Double> paces = new ArrayList<>();
@@ -70,16 +68,17 @@
             Math.max(1, (int) figures.number("allowed.mostExecutions", 1)),
             figures.number("obligations.startCapacity", 1), figures.time("obligations.coldUs", 0),
             figures.time("tickUs", 0), figures.time("allowed.idleCloseUs", Long.MAX_VALUE / NS_PER_US / 4),
-            idleQueries(proxies), probes && (reportColumns.contains("rif") || reportColumns.contains("q")));
+            idleQueries(figures, proxies),
+            probes && (reportColumns.contains("rif") || reportColumns.contains("q")));
     }
 
     /** A handshake is priced for each query, an open connection for each hundred of them a node. */
-    private double idleQueries(double proxies) {
+    private static double idleQueries(Figures figures, double proxies) {
         double open = figures.number("deductions.connection", 0);
         return open > 0 ? figures.number("deductions.handshake", 0) / open * 100 / proxies : Double.MAX_VALUE;
     }
 
-    private Track track(String at) {
+    private static Track track(Figures figures, String at) {
         Effect effect = switch (figures.need(at + "effect")) {
             case "retryable" -> Effect.IDEMPOTENT;
             case "dedup" -> Effect.DEDUPLICATED;
--- a/src/main/java/spurroad/transport/Actor.java
+++ b/src/main/java/spurroad/transport/Actor.java
@@ -22,7 +22,10 @@
 
     /** Puts a message into the mailbox; returns at once. */
     public final void tell(Runnable message) {
-        mailbox.add(message);
+        if (!mailbox.offer(message)) {
+            log.trouble("a mailbox is full", this);
+            throw new IllegalStateException("the mailbox of " + this + " is full");
+        }
         wake();
     }
 
--- a/src/main/java/spurroad/transport/Threads.java
+++ b/src/main/java/spurroad/transport/Threads.java
@@ -59,7 +59,8 @@
     private Thread thread(String name, Runnable work) {
         Thread t = new Thread(null, work, name, STACK_BYTES);
         t.setDaemon(true);
-        t.setUncaughtExceptionHandler((at, e) -> log.trouble("a thread failed", at.getName() + ", " + EventLog.where(e)));
+        t.setUncaughtExceptionHandler((at, e) ->
+            log.trouble("a thread failed", at.getName() + ", " + EventLog.where(e)));
         return t;
     }
 }
--- a/src/test/java/spurroad/Rig.java
+++ b/src/test/java/spurroad/Rig.java
@@ -260,8 +260,8 @@
 
     /** A list entry as discovery writes it. */
     public static String target(String uid, String model, int port, String state, long boot) {
-        return "{\"uid\":\"" + uid + "\",\"endpoint\":\"127.0.0.1:" + port + "\",\"az\":\"a\",\"model\":\"" + model
-            + "\",\"pod_group\":1,\"state\":\"" + state + "\",\"capacity_hint\":1.0,\"boot_ms\":" + boot + "}";
+        return ("{'uid':'" + uid + "','endpoint':'127.0.0.1:" + port + "','az':'a','model':'" + model
+            + "','pod_group':1,'state':'" + state + "','capacity_hint':1.0,'boot_ms':" + boot + "}").replace('\'', '"');
     }
 
     public static String list(long rev, boolean whole, String... targets) {
@@ -270,14 +270,14 @@
 
     /** What a proxy is started with: a read and a marked write, cache nodes before an origin. */
     public static String start(int discovery, int sockets, String known) {
-        return "{\"name\":\"n1\",\"listen\":\"127.0.0.1:0\",\"discovery\":\"127.0.0.1:" + discovery + "\",\"seed\":\"7f\","
-            + "\"limits\":{\"cores\":1.0,\"memory_mb\":192,\"sockets\":" + sockets + "},\"known\":" + known + ",\"settings\":{"
-            + "\"tickUs\":5000,\"discovery\":\"on_request\",\"kinds\":[\"m1\",\"origin\"],\"failureDomains\":[\"a\"],"
-            + "\"familyInfo\":{\"mode\":\"aside\",\"originKind\":1},\"projects\":[{\"name\":\"acme\",\"allowancePerS\":1000}],"
-            + "\"allowed\":{\"cancel\":true,\"probes\":true,\"retryAfter\":true,\"maxRetryAfterUs\":2000000,"
-            + "\"mostExecutions\":6,\"connectTimeoutUs\":250000,\"idleCloseUs\":60000000},\"report\":{\"columns\":[\"rif\"]},"
-            + "\"tracks\":[{\"name\":\"read\",\"effect\":\"retryable\",\"sloTimeUs\":8000000,\"importance\":1},"
-            + "{\"name\":\"put\",\"effect\":\"dedup\",\"dedupScope\":\"all\",\"dedupWindowUs\":9000000,"
-            + "\"sloTimeUs\":8000000,\"importance\":5}]}}";
+        return ("{'name':'n1','listen':'127.0.0.1:0','discovery':'127.0.0.1:" + discovery + "','seed':'7f',"
+            + "'limits':{'cores':1.0,'memory_mb':192,'sockets':" + sockets + "},'known':" + known + ",'settings':{"
+            + "'tickUs':5000,'discovery':'on_request','kinds':['m1','origin'],'failureDomains':['a'],"
+            + "'familyInfo':{'mode':'aside','originKind':1},'projects':[{'name':'acme','allowancePerS':1000}],"
+            + "'allowed':{'cancel':true,'probes':true,'retryAfter':true,'maxRetryAfterUs':2000000,"
+            + "'mostExecutions':6,'connectTimeoutUs':250000,'idleCloseUs':60000000},'report':{'columns':['rif']},"
+            + "'tracks':[{'name':'read','effect':'retryable','sloTimeUs':8000000,'importance':1},"
+            + "{'name':'put','effect':'dedup','dedupScope':'all','dedupWindowUs':9000000,"
+            + "'sloTimeUs':8000000,'importance':5}]}}").replace('\'', '"');
     }
 }
--- a/src/test/java/spurroad/program/ServiceTest.java
+++ b/src/test/java/spurroad/program/ServiceTest.java
@@ -81,10 +81,12 @@
 
     @DataProvider
     Object[][] faulty() {
-        return new Object[][] {{"get a\r\n", "ERROR", true}, {READ.replace("c=read", "c=x"), "CLIENT_ERROR unknown class", true},
+        return new Object[][] {{"get a\r\n", "ERROR", true},
+            {READ.replace("c=read", "c=x"), "CLIENT_ERROR unknown class", true},
             {READ.replace("acme", "x"), "CLIENT_ERROR unknown tenant", true},
             {READ.replace("d=9000", "q=1"), "CLIENT_ERROR no time to wait", true},
-            {"ms k x O1\r\n", "CLIENT_ERROR bad length", false}, {"y".repeat(5000), "CLIENT_ERROR line too long", false}};
+            {"ms k x O1\r\n", "CLIENT_ERROR bad length", false},
+            {"y".repeat(5000), "CLIENT_ERROR line too long", false}};
     }
 
     @Test(dataProvider = "faulty")
@@ -157,9 +159,13 @@
              Peer discovery = new Peer(m -> {
                  asked.add(m.split("\n")[0]);
                  String line = Rig.list(7, true, Rig.target("s-1", "m1", n.port, "active", 0)) + "\n";
-                 return asked.size() == 1 ? "HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n"
-                     : asked.size() == 2 ? WATCH + Integer.toHexString(line.length()) + "\r\n" + line + "\r\n0\r\n\r\n"
-                     : WATCH;
+                 return switch (asked.size()) {
+                     case 1 -> "HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n";
+                     case 2 -> WATCH + "a\r\n{\"rev\":8}\n\r\n";
+                     case 3 -> WATCH + "5\r\n{\"rev\r\n0\r\n\r\n";
+                     case 4 -> WATCH + Integer.toHexString(line.length()) + "\r\n" + line + "\r\n0\r\n\r\n";
+                     default -> WATCH;
+                 };
              });
              Client c = new Client(proxy(discovery, 256).port())) {
             String line = c.say(READ).line();
@@ -167,7 +173,7 @@
                 line = c.say(READ).line(); // no node is known yet
             }
             assertEquals(line, "VA 1 O1");
-            for (String since : List.of("1", "1", "7")) {
+            for (String since : List.of("1", "1", "1", "1", "7")) {
                 assertTrue(discovery.await("GET").startsWith("GET /catalog/members?follow=1&since=" + since + " "));
             }
         }
@@ -205,6 +211,11 @@
                 assertNull(busy.line(), "closed once answered");
                 end.join();
                 assertThrows(IOException.class, () -> new Client(s.port()));
+                String again = Rig.start(o.port, 256, Rig.list(1, true))
+                    .replace("127.0.0.1:0\"", "127.0.0.1:" + s.port() + "\"");
+                try (Client next = new Client(new Service(new ProxyStart(again)).port())) {
+                    assertEquals(next.say("mn\r\n").line(), "MN", "started again under its address at once");
+                }
             }
         }
     }
--- a/src/test/java/spurroad/protocol/ParsersTest.java
+++ b/src/test/java/spurroad/protocol/ParsersTest.java
@@ -265,7 +265,9 @@
     Object[][] faultyLists() {
         String good = Rig.list(1, true, Rig.target("s", "m", 1, "active", 0));
         return new Object[][] {{"[]"}, {"{\"rev\":1}"}, {"{\"targets\":[1]}"}, {good.replace("uid", "x")},
-            {good.replace("127.0.0.1:1", "name:1")}, {good.replace(":1\"", ":99999\"")}, {good.replace("az", "x")},
+            {good.replace("127.0.0.1:1", "name:1")},
+            {good.replace("127.0.0.1:1", "127.0.0.256:1")},
+            {good.replace(":1\"", ":99999\"")}, {good.replace("az", "x")},
             {good.replace("1.0", "\"1\"")}};
     }
 
--- a/src/test/java/spurroad/start/ProxyStartTest.java
+++ b/src/test/java/spurroad/start/ProxyStartTest.java
@@ -48,7 +48,8 @@
     @DataProvider
     Object[][] faults() {
         return new Object[][] {{"{", "BALANCER_CONFIG", "JSON"}, {"[]", "the whole", "object"},
-            {GOOD.replace("\"name\":\"n1\"", "\"x\":1"), "name", "missing"}, {GOOD.replace("\"n1\"", "1"), "name", "text"},
+            {GOOD.replace("\"name\":\"n1\"", "\"x\":1"), "name", "missing"},
+            {GOOD.replace("\"n1\"", "1"), "name", "text"},
             {GOOD.replace("\"listen\"", "\"x\""), "listen", "missing"},
             {GOOD.replace("127.0.0.1:0", "localhost:0"), "listen", "address"},
             {GOOD.replace("127.0.0.1:8500", "127.0.0.1"), "discovery", "address"},
@@ -56,7 +57,8 @@
             {GOOD.replace(":1024", ":10"), "limits.sockets", "number"},
             {GOOD.replace(":192", ":\"192\""), "limits.memory_mb", "number"},
             {GOOD.replace("\"limits\":{", "\"limits\":1,\"x\":{"), "limits", "object"},
-            {GOOD.replace("\"known\"", "\"x\""), "known", "missing"}, {GOOD.replace("\"uid\"", "\"x\""), "known", "uid"},
+            {GOOD.replace("\"known\"", "\"x\""), "known", "missing"},
+            {GOOD.replace("\"uid\"", "\"x\""), "known", "uid"},
             {GOOD.replace("\"settings\"", "\"x\""), "settings", "missing"},
             {GOOD.replace("\"tracks\"", "\"x\""), "tracks", "missing"},
             {GOOD.replace("\"retryable\"", "\"often\""), "tracks.0.effect", "unknown"},
