--- a/src/main/java/spurroad/routing/Tally.java
+++ b/src/main/java/spurroad/routing/Tally.java
@@ -35,7 +35,7 @@
 
     /** A line once enough time has passed, and a new start; else null. */
     String due(long now) {
-        since = since == 0 ? now : since;
+        since = now - since > 2 * APART_NS ? now : since; // it was quiet in between
         if (now - since < APART_NS || queries + executions.size() == 0) {
             return null;
         }
--- a/src/main/java/spurroad/transport/Descriptors.java
+++ b/src/main/java/spurroad/transport/Descriptors.java
@@ -5,16 +5,17 @@
 
 /** The one count of open sockets. Whoever opens one takes a place first and gives it back once it is closed. */
 public final class Descriptors {
+    private static final int NODES_SHARE = 3; // one part in so many is for nodes: a hundred at once were the most seen
     private static final int LIST = 2; // descriptors; a watch, and the next one while that closes
 
     private final Semaphore clients;
     private final Semaphore nodes;
 
-    /** Half of the places for nodes and the origin: a client waits for one execution at a time, seldom for two. */
+    /** Clients get most: one that waits has one execution out at a time, and none while it waits for the origin. */
     public Descriptors(int places) {
         int free = places - LIST;
-        nodes = new Semaphore(free / 2);
-        clients = new Semaphore(free - free / 2);
+        nodes = new Semaphore(free / NODES_SHARE);
+        clients = new Semaphore(free - free / NODES_SHARE);
     }
 
     public boolean takeForClient(long waitNs) throws InterruptedException {
