--- a/src/main/java/spurroad/routing/ClientConnection.java
+++ b/src/main/java/spurroad/routing/ClientConnection.java
@@ -26,7 +26,6 @@
     private static final int MAILBOX = 8 * MOST_WAITING; // messages; some for each command
     private static final int CLOSED = Integer.MIN_VALUE / 2; // far below zero, whatever is still counted down
     private static final long SLOW_NS = 10_000_000_000L; // ns; a client that takes or sends nothing so long is gone
-
     private static final long HOLDING_NS = 1_000_000_000L; // ns; the same where memory is short: a long pause of a peer
 
     /** The place of one command's answer in the order of answers. */
--- a/src/main/java/spurroad/routing/NodeActor.java
+++ b/src/main/java/spurroad/routing/NodeActor.java
@@ -195,6 +195,13 @@
         if (c.closed) {
             return;
         }
+        if (c.errand != e) {
+            // two answers to one errand: the second is nobody's, nor is what may follow
+            around.log.trouble("a node's answer can't be used", name + ", an answer to nothing");
+            idle.remove(c);
+            c.cut();
+            return;
+        }
         c.errand = null;
         if (reply.more() && !gone && c.generation == generation) {
             c.idleSince = now();
--- a/src/main/java/spurroad/routing/NodeConnection.java
+++ b/src/main/java/spurroad/routing/NodeConnection.java
@@ -79,6 +79,12 @@
         node.broken(this);
     }
 
+    /** Closes it where its errand, if it has one, is still to be ended by the break. */
+    void cut() {
+        connection.close();
+    }
+
+    /** Closes it where nothing that it still brings counts. */
     void close() {
         closed = true;
         connection.close();
--- a/src/test/java/spurroad/routing/NodeActorTest.java
+++ b/src/test/java/spurroad/routing/NodeActorTest.java
@@ -130,6 +130,20 @@
         }
     }
 
+    @Test
+    public void aSecondAnswerEndsNothingTwiceAndItsConnectionIsGivenUp() throws Exception {
+        try (Rig.Peer peer = new Rig.Peer(message -> "EN O1\r\nEN O1\r\n")) {
+            NodeActor node = node(peer.port, false, new Descriptors(100));
+            begin(node, LONG_NS);
+            assertEquals(outcome(), Outcome.MISS);
+            assertEquals(peer.await("closed"), "closed");
+            assertTrue(ended.isEmpty());
+            begin(node, LONG_NS);
+            assertEquals(outcome(), Outcome.MISS);
+            assertEquals(peer.connections.get(), 2);
+        }
+    }
+
     @Test
     public void aConnectionIsUsedAgainUntilTheNodeIsAnother() throws Exception {
         Function<String, String> answer = message -> "EN O1\r\n";
