--- a/src/main/java/spurroad/routing/NodeActor.java
+++ b/src/main/java/spurroad/routing/NodeActor.java
@@ -141,7 +141,11 @@
 
     private NodeConnection kept() {
         closeLongIdle();
-        return idle.pollLast();
+        NodeConnection c = idle.pollLast();
+        while (c != null && c.lost()) {
+            c = idle.pollLast();
+        }
+        return c;
     }
 
     private void closeLongIdle() {
--- a/src/main/java/spurroad/routing/NodeConnection.java
+++ b/src/main/java/spurroad/routing/NodeConnection.java
@@ -79,6 +79,11 @@
         node.broken(this);
     }
 
+    /** Whether it broke, though its actor may not have been told yet. */
+    boolean lost() {
+        return connection.closed();
+    }
+
     /** Closes it where its errand, if it has one, is still to be ended by the break. */
     void cut() {
         connection.close();
--- a/src/main/java/spurroad/transport/Connection.java
+++ b/src/main/java/spurroad/transport/Connection.java
@@ -56,6 +56,10 @@
         }
     }
 
+    public boolean closed() {
+        return socket.isClosed();
+    }
+
     public void close() {
         try {
             socket.close();
