--- a/src/test/java/spurroad/program/ServiceTest.java
+++ b/src/test/java/spurroad/program/ServiceTest.java
@@ -158,12 +158,12 @@
         try (Peer n = new Peer(hit("v"));
              Peer discovery = new Peer(m -> {
                  asked.add(m.split("\n")[0]);
-                 String line = Rig.list(7, true, Rig.target("s-1", "m1", n.port, "active", 0)) + "\n";
+                 String line = Rig.list(7, true, Rig.target("s-1", "m1", n.port, "active", 0));
                  return switch (asked.size()) {
                      case 1 -> "HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n";
                      case 2 -> WATCH + "a\r\n{\"rev\":8}\n\r\n";
                      case 3 -> WATCH + "5\r\n{\"rev\r\n0\r\n\r\n";
-                     case 4 -> WATCH + Integer.toHexString(line.length()) + "\r\n" + line + "\r\n0\r\n\r\n";
+                     case 4 -> WATCH + chunk(line) + "0\r\n\r\n";
                      default -> WATCH;
                  };
              });
@@ -179,6 +179,34 @@
         }
     }
 
+    @Test
+    public void aNodeThatLeavesGetsNothingNewAndOneThatLeftIsLetGo() throws Exception {
+        CountDownLatch watched = new CountDownLatch(1);
+        try (Peer a = new Peer(hit("a")); Peer b = new Peer(hit("b"));
+             Peer discovery = new Peer(m -> {
+                 watched.countDown();
+                 return null;
+             });
+             Client c = new Client(proxy(discovery, 256, Rig.target("s-a", "m1", a.port, "active", 0)).port())) {
+            assertEquals(c.say(READ).line() + c.line(), "VA 1 O1a");
+            watched.await();
+            discovery.say(WATCH + chunk(Rig.list(2, false, Rig.target("s-a", "m1", a.port, "leaving", 0),
+                Rig.target("s-b", "m1", b.port, "active", 0))));
+            while (c.say(READ).line().startsWith("VA") && !c.line().equals("b")) {
+                continue; // the change is on its way
+            }
+            for (int i = 0; i < 30; i++) {
+                assertEquals(c.say(READ.replace("mg k", "mg k" + i)).line() + c.line(), "VA 1 O1b");
+            }
+            discovery.say(chunk(Rig.list(3, false, Rig.target("s-a", "m1", a.port, "left", 0))));
+            assertEquals(a.await("closed"), "closed");
+        }
+    }
+
+    private static String chunk(String line) {
+        return Integer.toHexString(line.length() + 1) + "\r\n" + line + "\n\r\n";
+    }
+
     @Test
     public void theEndAnswersWhatWasTakenAndLetsNobodyElseIn() throws Exception {
         CountDownLatch ending = new CountDownLatch(1);
