--- a/src/main/java/spurroad/program/Service.java
+++ b/src/main/java/spurroad/program/Service.java
@@ -14,6 +14,7 @@
 /** One real proxy: puts its parts together, and ends it in order. */
 public final class Service {
     private static final long STILL_ACCEPT_MS = 500; // ms; new connections go on coming for up to 400 ms
+    private static final long CLOSING_MS = 200; // ms; for those whom the system has accepted
     private static final long LOOK_MS = 5; // ms; how often it is looked whether all clients are gone
     private static final long LONGEST_END_NS = 10_000_000_000L; // ns; longer than clients wait
 
@@ -45,12 +46,12 @@
     public void end() throws InterruptedException {
         log.event("ending", clients.count() + " clients connected");
         Thread.sleep(STILL_ACCEPT_MS);
-        listener.end();
+        // with no place left it can't take those who wait, and clients have to go first
+        boolean closed = listener.end(CLOSING_MS);
         long until = System.nanoTime() + LONGEST_END_NS;
-        clients.end();
-        while (clients.count() > 0 && System.nanoTime() < until) {
+        for (clients.end(); (clients.count() > 0 || !closed) && System.nanoTime() < until; clients.end()) {
+            closed = listener.end(LOOK_MS) || closed;
             Thread.sleep(LOOK_MS);
-            clients.end();
         }
         log.event("ended", clients.count() + " clients left");
     }
--- a/src/main/java/spurroad/transport/Listener.java
+++ b/src/main/java/spurroad/transport/Listener.java
@@ -5,6 +5,7 @@
 import java.net.ServerSocket;
 import java.net.SocketTimeoutException;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 
 /** Owns the listening socket; its thread takes a place for a client before it accepts one. */
 public final class Listener {
@@ -78,9 +79,9 @@
         }
     }
 
-    /** Returns once nobody else can connect. */
-    public void end() throws InterruptedException {
+    /** Makes it take what the system has accepted, and then close; tells whether it has within the time. */
+    public boolean end(long waitMs) throws InterruptedException {
         ending = true;
-        ended.await();
+        return ended.await(waitMs, TimeUnit.MILLISECONDS);
     }
 }
