--- a/src/main/java/spurroad/program/Service.java
+++ b/src/main/java/spurroad/program/Service.java
@@ -35,7 +35,7 @@
         threads.start("module", decider);
         threads.start("listener", listener::run);
         log.event("serving", start.name + " at " + start.listen + ", " + descriptors.leftForClients()
-            + " descriptors for clients and " + descriptors.leftForNodes() + " for nodes");
+            + " places for clients at most, " + descriptors.leftForNodes() + " for nodes");
     }
 
     public int port() {
--- a/src/main/java/spurroad/routing/Clients.java
+++ b/src/main/java/spurroad/routing/Clients.java
@@ -50,12 +50,12 @@
         }
     }
 
-    /** Closes the connection that has been idle the longest, if there is one. */
+    /** Closes the client's connection that has been idle the longest or, if there is none, some to nodes. */
     @Override
     public void placesNeeded() {
         log.trouble("no descriptor left for clients", connections.size() + " connected");
-        connections.stream().filter(ClientConnection::idle)
-            .min(Comparator.comparingLong(c -> c.idleSince)).ifPresent(ClientConnection::closeIfIdle);
+        connections.stream().filter(ClientConnection::idle).min(Comparator.comparingLong(c -> c.idleSince))
+            .ifPresentOrElse(ClientConnection::closeIfIdle, decider::placesNeeded);
         connections.forEach(ClientConnection::closeIfStuck);
     }
 
--- a/src/main/java/spurroad/routing/Decider.java
+++ b/src/main/java/spurroad/routing/Decider.java
@@ -57,7 +57,7 @@
         this.log = log;
         balance = new Balance(start.figures.deployment, start.seed);
         around = new NodeActor.Surroundings(threads, log, clock, descriptors, start.figures.connectNs,
-            start.figures.deployment.idleNs(), () -> mailbox.tell(this::closeIdleEverywhere),
+            start.figures.deployment.idleNs(), this::placesNeeded,
             (e, reply) -> mailbox.tell(() -> ended(e, reply)));
     }
 
@@ -154,7 +154,13 @@
     }
 
     private void closeIdleEverywhere() {
-        nodes.values().forEach(n -> n.tell(n::closeIdle));
+        nodes.values().forEach(n -> n.tell(n::closeLongestIdle));
+    }
+
+    // ---- told by whoever lacks descriptors
+
+    void placesNeeded() {
+        mailbox.tell(this::closeIdleEverywhere);
     }
 
     // ---- told by the list
--- a/src/main/java/spurroad/routing/Errand.java
+++ b/src/main/java/spurroad/routing/Errand.java
@@ -14,7 +14,8 @@
     // the node actor's
     NodeConnection connection;
     Threads.Alarm alarm;
-    boolean ended, asked;
+    long begunAt;
+    boolean ended;
 
     Errand(Query query, int number, NodeActor node, long until) {
         this.query = query;
--- a/src/main/java/spurroad/routing/NodeActor.java
+++ b/src/main/java/spurroad/routing/NodeActor.java
@@ -28,7 +28,7 @@
 
     private static final int MAILBOX = 8192; // messages; some for each query under way
     private static final double KEPT = 0.8; // of the time until the node closes an idle one: no query crosses that
-    private static final long SHORT_NS = 10_000_000L; // ns; idle connections of others are closed within that
+    private static final long SHORT_NS = 10_000_000L; // ns; until a place is asked for again: idle connections are closed within that
 
     private final Surroundings around;
     private final NodeId id;
@@ -93,7 +93,15 @@
         }
     }
 
+    /** Where descriptors are short: the connection that has been idle the longest. */
+    void closeLongestIdle() {
+        if (!idle.isEmpty()) {
+            idle.poll().close();
+        }
+    }
+
     void begin(Errand e) {
+        e.begunAt = now();
         e.alarm = around.threads.after(e.until - now(), () -> tell(() -> timedOut(e)));
         place(e);
     }
@@ -119,8 +127,7 @@
             around.threads.run(() -> c.write(e));
         } else if (around.descriptors.takeForNode()) {
             connect(e);
-        } else if (!e.asked) {
-            e.asked = true;
+        } else if (now() - e.begunAt < around.connectNs) {
             around.log.trouble("no descriptor left for nodes", name);
             around.closeIdleEverywhere.run();
             around.threads.after(SHORT_NS, () -> tell(() -> place(e)));
--- a/src/main/java/spurroad/start/ProxyStart.java
+++ b/src/main/java/spurroad/start/ProxyStart.java
@@ -16,7 +16,8 @@
     private static final double LEAST_MEMORY_MB = 64; // MiB; the virtual machine alone takes 45
     private static final double LEAST_SOCKETS = 64; // descriptors; fewer leave none for clients
     private static final int OWN_SOCKETS = 32; // descriptors; the virtual machine's: 8 were seen, and room
-    private static final double OWN_MB = 112; // MiB; the virtual machine with a full heap, as deployed
+    private static final double OWN_MB = 45; // MiB; the virtual machine at rest
+    private static final double HEAP_SHARE = 0.22; // of the memory: queries may hold an eighth, and their garbage
     private static final double PLACE_MB = 0.08; // MiB; a connection with its thread: 77 KiB were seen
     private static final int LEAST_PLACES = 32; // connections; with less memory we hope rather than serve nobody
 
@@ -59,7 +60,7 @@
         Map<?, ?> limits = whole.get("limits") == null ? Map.of() : object(whole.get("limits"), "limits");
         memoryMb = (int) number(limits, "limits.", "memory_mb", MEMORY_MB, LEAST_MEMORY_MB);
         int sockets = (int) number(limits, "limits.", "sockets", SOCKETS, LEAST_SOCKETS);
-        places = (int) Math.min(sockets - OWN_SOCKETS, Math.max(LEAST_PLACES, (memoryMb - OWN_MB) / PLACE_MB));
+        places = (int) Math.min(sockets - OWN_SOCKETS, Math.max(LEAST_PLACES, (memoryMb * (1 - HEAP_SHARE) - OWN_MB) / PLACE_MB));
         figures = StartFigures.ofJson(object(whole.get("settings"), "settings"));
         names = new Members.Names(figures.kinds, figures.zones, figures.weighted);
         try {
--- a/src/main/java/spurroad/transport/Descriptors.java
+++ b/src/main/java/spurroad/transport/Descriptors.java
@@ -3,44 +3,62 @@
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
 
-/** The one count of open sockets. Whoever opens one takes a place first and gives it back once it is closed. */
+/**
+ * The one count of open sockets. Whoever opens one takes a place first and gives it back once it is closed. Neither
+ * clients nor nodes can take all: each side has a reserve that the other can't touch, and what lies between is for
+ * whoever comes first.
+ */
 public final class Descriptors {
-    private static final int NODES_SHARE = 3; // one part in so many is for nodes: a hundred at once were the most seen
-    private static final int LIST = 2; // descriptors; a watch, and the next one while that closes
+    private static final double CLIENTS_MOST = 2 / 3.0; // of the places: many clients wait with nothing sent
+    private static final double NODES_MOST = 1 / 2.0; // of the places: a client has one execution out, seldom two
+    private static final int LIST = 2; // places; a watch, and the next one while that closes
 
+    private final Semaphore all;
     private final Semaphore clients;
     private final Semaphore nodes;
 
-    /** Clients get most: one that waits has one execution out at a time, and none while it waits for the origin. */
     public Descriptors(int places) {
         int free = places - LIST;
-        nodes = new Semaphore(free / NODES_SHARE);
-        clients = new Semaphore(free - free / NODES_SHARE);
+        all = new Semaphore(free);
+        clients = new Semaphore(Math.max(1, (int) (free * CLIENTS_MOST)));
+        nodes = new Semaphore(Math.max(1, (int) (free * NODES_MOST)));
     }
 
     public boolean takeForClient(long waitNs) throws InterruptedException {
-        return clients.tryAcquire(waitNs, TimeUnit.NANOSECONDS);
+        boolean may = clients.tryAcquire(waitNs, TimeUnit.NANOSECONDS);
+        boolean taken = may && all.tryAcquire(waitNs, TimeUnit.NANOSECONDS);
+        if (may && !taken) {
+            clients.release();
+        }
+        return taken;
     }
 
-    public void giveFromClient() {
-        clients.release();
+    public boolean takeForNode() {
+        boolean may = nodes.tryAcquire();
+        boolean taken = may && all.tryAcquire();
+        if (may && !taken) {
+            nodes.release();
+        }
+        return taken;
     }
 
-    public boolean takeForNode() {
-        return nodes.tryAcquire();
+    public void giveFromClient() {
+        all.release();
+        clients.release();
     }
 
     public void giveFromNode() {
+        all.release();
         nodes.release();
     }
 
     /** How many clients may still come. */
     public int leftForClients() {
-        return clients.availablePermits();
+        return Math.min(all.availablePermits(), clients.availablePermits());
     }
 
     /** How many connections to nodes may still be opened. */
     public int leftForNodes() {
-        return nodes.availablePermits();
+        return Math.min(all.availablePermits(), nodes.availablePermits());
     }
 }
