--- a/src/main/java/spurroad/routing/ClientConnection.java
+++ b/src/main/java/spurroad/routing/ClientConnection.java
@@ -19,14 +19,14 @@
 /**
  * One connection of a client. Its reader thread reads commands for as long as it lasts, closes the socket for good and
  * gives its place back; the actor keeps the answers in order and has them written by a thread that may wait for a
- * slow client.
+ * slow client. A guest, for whom there was no place, is turned away and let go.
  */
 final class ClientConnection extends Actor implements Runnable {
     private static final int MOST_WAITING = 16; // commands; read ahead of their answers
     private static final int MAILBOX = 8 * MOST_WAITING; // messages; some for each command
     private static final int CLOSED = Integer.MIN_VALUE / 2; // far below zero, whatever is still counted down
     private static final long SLOW_NS = 10_000_000_000L; // ns; a client that takes or sends nothing so long is gone
-    private static final long HOLDING_NS = 1_000_000_000L; // ns; the same where memory is short: a long pause of a peer
+    private static final long HOLDING_NS = 1_000_000_000L; // ns; the same where memory is short, and for guests: a long pause
 
     /** The place of one command's answer in the order of answers. */
     private static final class Slot {
@@ -38,6 +38,7 @@
 
     private final Clients clients;
     private final Connection connection;
+    private final boolean guest;
     private final Semaphore ahead = new Semaphore(MOST_WAITING);
     // commands begun and not yet answered whole; below zero once closed between two of them
     private final AtomicInteger open = new AtomicInteger();
@@ -47,10 +48,11 @@
     private final Deque<Slot> slots = new ArrayDeque<>();
     private boolean writing, closed;
 
-    ClientConnection(Clients clients, Connection connection) {
+    ClientConnection(Clients clients, Connection connection, boolean guest) {
         super(clients.threads, clients.log, MAILBOX);
         this.clients = clients;
         this.connection = connection;
+        this.guest = guest;
         idleSince = clients.clock.now();
     }
 
@@ -114,9 +116,11 @@
         if (track < 0 || customer < 0 && pairs.containsKey("t") && !clients.start.figures.customers.isEmpty()) {
             clients.log.trouble("a client's command can't be used", this + ", " + command.extras());
             slot.answer = MetaReply.text("CLIENT_ERROR unknown " + (track < 0 ? "class" : "tenant"));
+        } else if (guest) {
+            slot.answer = clients.busy();
         } else if (!clients.room.take(Clients.QUERY_BYTES + command.value.length)) {
             clients.log.trouble("no room for a query", this);
-            slot.answer = MetaReply.rejected(0);
+            slot.answer = clients.busy();
         } else {
             slot.queryRoom = Clients.QUERY_BYTES + command.value.length;
             slot.query = new Query(this, command, new TrackId(track), new CustomerId(customer), at);
@@ -172,7 +176,7 @@
         idleSince = clients.clock.now();
         if (ready.get(ready.size() - 1).last) {
             close();
-        } else if (open.addAndGet(-ready.size()) == 0 && clients.ending()) {
+        } else if (open.addAndGet(-ready.size()) == 0 && (guest || clients.ending())) {
             closeIfIdle();
         }
         flush();
@@ -223,7 +227,7 @@
 
     /** Closes it where the rest of a command has not come for long: that was never taken. */
     void closeIfStuck() {
-        if (clients.clock.now() - SLOW_NS > begunAt) {
+        if (clients.clock.now() - (guest ? HOLDING_NS : SLOW_NS) > begunAt) {
             connection.close();
         }
     }
--- a/src/main/java/spurroad/routing/Clients.java
+++ b/src/main/java/spurroad/routing/Clients.java
@@ -3,6 +3,9 @@
 import java.util.Comparator;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import spurroad.model.Deployment;
+import spurroad.model.Track;
+import spurroad.protocol.MetaReply;
 import spurroad.start.ProxyStart;
 import spurroad.transport.Clock;
 import spurroad.transport.Connection;
@@ -16,7 +19,7 @@
     static final int QUERY_BYTES = 8192; // bytes; what a query without a value holds on its way, with room
     private static final int ROOM_SHARE = 8; // one part in so many of the memory is for queries under way
     private static final int HEAP_SHARE = 3; // one part in so many of the heap; answers and buffers take more
-    private static final long MIB = 1 << 20;
+    private static final long MIB = 1 << 20, NS_PER_MS = 1_000_000L;
 
     final ProxyStart start;
     final Threads threads;
@@ -38,8 +41,8 @@
     }
 
     @Override
-    public void accepted(Connection connection) {
-        ClientConnection c = new ClientConnection(this, connection);
+    public void accepted(Connection connection, boolean guest) {
+        ClientConnection c = new ClientConnection(this, connection, guest);
         connections.add(c);
         try {
             threads.start("client", c);
@@ -72,6 +75,13 @@
         }
     }
 
+    /** The answer to a query for which the proxy itself has no place: nothing was sent, and when to come again. */
+    byte[] busy() {
+        Deployment figures = start.figures.deployment;
+        long slo = figures.tracks().stream().mapToLong(Track::sloNs).min().orElse(0);
+        return MetaReply.rejected(Math.min(figures.maxComeBackNs(), slo / 2) / NS_PER_MS);
+    }
+
     boolean ending() {
         return ending;
     }
--- a/src/main/java/spurroad/transport/Descriptors.java
+++ b/src/main/java/spurroad/transport/Descriptors.java
@@ -12,13 +12,15 @@
     private static final double CLIENTS_MOST = 2 / 3.0; // of the places: many clients wait with nothing sent
     private static final double NODES_MOST = 1 / 2.0; // of the places: a client has one execution out, seldom two
     private static final int LIST = 2; // places; a watch, and the next one while that closes
+    private static final int GUESTS = 8; // places; clients for whom there is no other, answered and let go at once
 
     private final Semaphore all;
     private final Semaphore clients;
     private final Semaphore nodes;
+    private final Semaphore guests = new Semaphore(GUESTS);
 
     public Descriptors(int places) {
-        int free = places - LIST;
+        int free = places - LIST - GUESTS;
         all = new Semaphore(free);
         clients = new Semaphore(Math.max(1, (int) (free * CLIENTS_MOST)));
         nodes = new Semaphore(Math.max(1, (int) (free * NODES_MOST)));
@@ -33,6 +35,15 @@
         return taken;
     }
 
+    /** One of the few places for clients who are only told that there is no place. */
+    public boolean takeForGuest(long waitNs) throws InterruptedException {
+        return guests.tryAcquire(waitNs, TimeUnit.NANOSECONDS);
+    }
+
+    public void giveFromGuest() {
+        guests.release();
+    }
+
     public boolean takeForNode() {
         boolean may = nodes.tryAcquire();
         boolean taken = may && all.tryAcquire();
--- a/src/main/java/spurroad/transport/Listener.java
+++ b/src/main/java/spurroad/transport/Listener.java
@@ -3,15 +3,16 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
+import java.net.Socket;
 import java.net.SocketTimeoutException;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 
 /** Owns the listening socket; its thread takes a place for a client before it accepts one. */
 public final class Listener {
-    /** Gets accepted connections, and is asked for places when there is none. */
+    /** Gets accepted connections, those of guests to be let go soon, and is asked for places when there is none. */
     public interface Door {
-        void accepted(Connection c);
+        void accepted(Connection c, boolean guest);
 
         void placesNeeded();
     }
@@ -48,10 +49,8 @@
         while (more) {
             boolean last = ending;
             try {
-                for (boolean got = descriptors.takeForClient(0); !got; got = descriptors.takeForClient(ASK_NS)) {
-                    door.placesNeeded();
-                }
-                more = accept() || !last;
+                boolean guest = !place();
+                more = accept(guest) || !last;
             } catch (InterruptedException e) {
                 more = false;
             }
@@ -64,21 +63,49 @@
         ended.countDown();
     }
 
-    private boolean accept() throws InterruptedException {
+    /** Takes a place; where clients make none it is a guest's, and false: who waits in the system's queue is lost. */
+    private boolean place() throws InterruptedException {
+        if (descriptors.takeForClient(0)) {
+            return true;
+        }
+        do {
+            door.placesNeeded();
+            if (descriptors.takeForClient(ASK_NS)) {
+                return true;
+            }
+        } while (!descriptors.takeForGuest(ASK_NS));
+        return false;
+    }
+
+    private boolean accept(boolean guest) throws InterruptedException {
         try {
-            door.accepted(new Connection(socket.accept(), descriptors::giveFromClient));
+            Socket s = socket.accept();
+            boolean stays = guest && descriptors.takeForClient(0);
+            if (stays) {
+                descriptors.giveFromGuest();
+            }
+            boolean stillGuest = guest && !stays;
+            door.accepted(new Connection(s, () -> giveBack(stillGuest)), stillGuest);
             return true;
         } catch (SocketTimeoutException e) {
-            descriptors.giveFromClient();
+            giveBack(guest);
             return false;
         } catch (IOException e) {
-            descriptors.giveFromClient();
+            giveBack(guest);
             log.trouble("accepting failed", e.getMessage());
             Thread.sleep(REST_MS);
             return false;
         }
     }
 
+    private void giveBack(boolean guest) {
+        if (guest) {
+            descriptors.giveFromGuest();
+        } else {
+            descriptors.giveFromClient();
+        }
+    }
+
     /** Makes it take what the system has accepted, and then close; tells whether it has within the time. */
     public boolean end(long waitMs) throws InterruptedException {
         ending = true;
--- a/src/test/java/spurroad/program/ServiceTest.java
+++ b/src/test/java/spurroad/program/ServiceTest.java
@@ -248,6 +248,28 @@
         }
     }
 
+    /** A day with few descriptors: those who waited in the system's queue were lost. */
+    @Test
+    public void whenAllClientsAreBusyTheNextIsTurnedAway() throws Exception {
+        try (Peer n = new Peer(m -> null); Peer o = new Peer(m -> null)) {
+            Service s = proxy(new Peer(m -> WATCH), 70, Rig.target("s-1", "m1", n.port, "active", 0),
+                Rig.target("s-o", "origin", o.port, "active", 0));
+            List<Client> busy = new ArrayList<>();
+            for (int i = 0; i < 24; i++) {
+                // 18 places and some of the guests'; the beginning of a command keeps a connection from being idle
+                busy.add(new Client(s.port()).say("mn\r\nmg k"));
+                assertEquals(busy.get(i).line(), "MN");
+            }
+            try (Client next = new Client(s.port())) {
+                assertTrue(next.say(READ).line().startsWith("SERVER_ERROR busy "));
+                assertNull(next.line(), "and let go");
+            }
+            for (Client c : busy) {
+                c.close();
+            }
+        }
+    }
+
     @Test
     public void whenPlacesRunOutIdleClientsMakeRoom() throws Exception {
         try (Peer n = new Peer(hit("v")); Peer o = new Peer(m -> ok(""))) {
--- a/src/test/java/spurroad/routing/NodeActorTest.java
+++ b/src/test/java/spurroad/routing/NodeActorTest.java
@@ -97,7 +97,7 @@
         begin(node(free, false, new Descriptors(100)), LONG_NS);
         assertEquals(outcome(), Outcome.NO_CONNECTION, "refused");
         try (Rig.Peer peer = new Rig.Peer(message -> null)) {
-            Descriptors descriptors = new Descriptors(2 + 2);
+            Descriptors descriptors = new Descriptors(2 + 8 + 2);
             NodeActor node = node(peer.port, false, descriptors);
             begin(node, LONG_NS);
             peer.await("mg");
--- a/src/test/java/spurroad/transport/ActorTest.java
+++ b/src/test/java/spurroad/transport/ActorTest.java
@@ -44,7 +44,7 @@
 
     @Test
     public void neitherSideCanTakeAllPlaces() throws InterruptedException {
-        Descriptors d = new Descriptors(2 + 6);
+        Descriptors d = new Descriptors(2 + 8 + 6);
         for (int i = 0; i < 5; i++) {
             assertEquals(d.takeForNode(), i < 3, "half of six");
         }
