--- a/src/main/java/spurroad/routing/ClientConnection.java
+++ b/src/main/java/spurroad/routing/ClientConnection.java
@@ -26,7 +26,7 @@
     private static final int MAILBOX = 8 * MOST_WAITING; // messages; some for each command
     private static final int CLOSED = Integer.MIN_VALUE / 2; // far below zero, whatever is still counted down
     private static final long SLOW_NS = 10_000_000_000L; // ns; a client that takes or sends nothing so long is gone
-    private static final long HOLDING_NS = 1_000_000_000L; // ns; the same where memory is short, and for guests: a long pause
+    private static final long HOLDING_NS = 1_000_000_000L; // ns; the same where memory is short, and for guests and new ones: a long pause
 
     /** The place of one command's answer in the order of answers. */
     private static final class Slot {
@@ -43,6 +43,7 @@
     // commands begun and not yet answered whole; below zero once closed between two of them
     private final AtomicInteger open = new AtomicInteger();
     volatile long idleSince;
+    private volatile boolean answered;
     private volatile long begunAt = Long.MAX_VALUE, writingSince = Long.MAX_VALUE;
     // the actor's
     private final Deque<Slot> slots = new ArrayDeque<>();
@@ -174,6 +175,7 @@
         ready.forEach(this::giveRoom);
         ahead.release(ready.size());
         idleSince = clients.clock.now();
+        answered = true;
         if (ready.get(ready.size() - 1).last) {
             close();
         } else if (open.addAndGet(-ready.size()) == 0 && (guest || clients.ending())) {
@@ -205,13 +207,14 @@
         ahead.release(MOST_WAITING);
     }
 
+    /** Whether it stands between two commands; one that was just opened brings its first, which is not sent again. */
     boolean idle() {
-        return open.get() == 0;
+        return open.get() == 0 && (answered || clients.clock.now() - idleSince > HOLDING_NS);
     }
 
     /** Closes it between two commands, from any thread; one that the reader has begun keeps it open. */
     boolean closeIfIdle() {
-        boolean done = !connection.unread() && open.compareAndSet(0, CLOSED);
+        boolean done = idle() && !connection.unread() && open.compareAndSet(0, CLOSED);
         if (done) {
             connection.close();
         }
--- a/src/test/java/spurroad/program/ServiceTest.java
+++ b/src/test/java/spurroad/program/ServiceTest.java
@@ -248,6 +248,22 @@
         }
     }
 
+    /** The same day: clients just accepted were closed as idle while their first query was on its way. */
+    @Test
+    public void aClientThatHasJustComeIsNotClosedBeforeItsFirstQuery() throws Exception {
+        try (Peer n = new Peer(hit("v")); Peer o = new Peer(m -> ok(""))) {
+            Service s = proxy(new Peer(m -> WATCH), 70, Rig.target("s-1", "m1", n.port, "active", 0));
+            List<Client> fresh = new ArrayList<>();
+            for (int i = 0; i < 24; i++) {
+                fresh.add(new Client(s.port()));
+            }
+            for (Client c : fresh) {
+                assertTrue(c.say(READ).line().matches("VA 1 O1|SERVER_ERROR busy.*"));
+                c.close();
+            }
+        }
+    }
+
     /** A day with few descriptors: those who waited in the system's queue were lost. */
     @Test
     public void whenAllClientsAreBusyTheNextIsTurnedAway() throws Exception {
