Idle clients are closed after 50 ms of rest, guests and those of the end together with their answer

What was lost had been closed over: a client takes a connection for its next query as soon as it has the answer, while it was closed some milliseconds later (ClientConnection.written), or chosen as idle after none.

--- a/src/main/java/spurroad/routing/ClientConnection.java
+++ b/src/main/java/spurroad/routing/ClientConnection.java
@@ -26,6 +26,7 @@
     private static final int MAILBOX = 8 * MOST_WAITING; // messages; some for each command
     private static final int CLOSED = Integer.MIN_VALUE / 2; // far below zero, whatever is still counted down
     private static final long SLOW_NS = 10_000_000_000L; // ns; a client that takes or sends nothing so long is gone
+    private static final long REST_NS = 50_000_000L; // ns; a client that goes on at once has done so by then
     private static final long HOLDING_NS = 1_000_000_000L; // ns; the same where memory is short, and for guests and new ones: a long pause
 
     /** The place of one command's answer in the order of answers. */
@@ -152,16 +153,21 @@
             writing = true;
             writingSince = clients.clock.now();
             Threads.Alarm slow = clients.threads.after(SLOW_NS, connection::close);
-            clients.threads.run(() -> write(ready, slow));
+            boolean goes = (guest || clients.ending()) && slots.isEmpty();
+            clients.threads.run(() -> write(ready, slow, goes));
         }
     }
 
     /** On a thread that may wait; a client that can't be written to has its reader end, too. */
-    private void write(List<Slot> ready, Threads.Alarm slow) {
+    private void write(List<Slot> ready, Threads.Alarm slow, boolean goes) {
         try {
             for (Slot slot : ready) {
                 connection.write(slot.answer);
             }
+            // at once: the client takes the connection for its next query as soon as it has the answer
+            if (goes && !connection.unread() && open.compareAndSet(ready.size(), CLOSED)) {
+                connection.close();
+            }
         } catch (IOException e) {
             connection.close();
         }
@@ -209,7 +215,7 @@
 
     /** Whether it stands between two commands; one that was just opened brings its first, which is not sent again. */
     boolean idle() {
-        return open.get() == 0 && (answered || clients.clock.now() - idleSince > HOLDING_NS);
+        return open.get() == 0 && clients.clock.now() - idleSince > (answered ? REST_NS : HOLDING_NS);
     }
 
     /** Closes it between two commands, from any thread; one that the reader has begun keeps it open. */
--- a/src/main/java/spurroad/transport/Listener.java
+++ b/src/main/java/spurroad/transport/Listener.java
@@ -18,7 +18,7 @@
     }
 
     private static final int BACKLOG = 1024; // connections; a burst of clients after a restart
-    private static final long ASK_NS = 20_000_000L; // ns; how long a place is waited for until clients are asked again
+    private static final long ASK_NS = 2_000_000L; // ns; between askings for a place: an idle connection closes in less
     private static final long REST_MS = 20; // ms; after a failed accept, which may fail again at once
     private static final int LAST_MS = 50; // ms; without a further connection, before the socket is closed
 
