Parsers: one reader of a needed line, one flag finder, one message with a value; extras read once

MetaReply and Http each had the needed line, MetaCommand and MetaReply each the search for a flag and the putting together of line, value and end; a query's list of names and values was parsed four times on its way. The rule for a listed node's size stood in WireHost and in Members. Behaviour is as before.

--- a/src/main/java/spurroad/protocol/ByteSource.java
+++ b/src/main/java/spurroad/protocol/ByteSource.java
@@ -55,6 +55,15 @@
         }
     }
 
+    /** A line where there has to be one. */
+    String needLine(int most) throws IOException {
+        String line = line(most);
+        if (line == null) {
+            throw new ProtocolException("the stream ended");
+        }
+        return line;
+    }
+
     /** What there is, up to a count, into an array at a place; -1 at the end of the stream. */
     int some(byte[] into, int at, int most) throws IOException {
         if (!await()) {
--- a/src/main/java/spurroad/protocol/Http.java
+++ b/src/main/java/spurroad/protocol/Http.java
@@ -1,5 +1,6 @@
 package spurroad.protocol;
 
+import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.InputStream;
 import java.nio.charset.StandardCharsets;
@@ -36,8 +37,8 @@
 
     private Http() { }
 
-    public static byte[] get(String target, String host, Map<String, String> headers) {
-        return request("GET", target, host, headers, null);
+    public static byte[] get(String target, String host) {
+        return request("GET", target, host, Map.of(), null);
     }
 
     /** The origin's form of a query: the id and the list of names and values go on as they came. */
@@ -81,7 +82,7 @@
     }
 
     private static Head oneHead(ByteSource in) throws IOException {
-        String line = need(in);
+        String line = in.needLine(MOST_HEAD_LINE);
         String[] first = line.split(" ", 3);
         long status = first.length < 2 || !first[0].startsWith("HTTP/1.") ? -1 : Numbers.whole(first[1]);
         if (status < 100 || status > 999) {
@@ -89,7 +90,7 @@
         }
         Map<String, String> headers = new HashMap<>();
         for (int i = 0; i < MOST_HEADERS; i++) {
-            String header = need(in);
+            String header = in.needLine(MOST_HEAD_LINE);
             if (header.isEmpty()) {
                 return new Head((int) status, headers);
             }
@@ -118,7 +119,7 @@
         return new Reply(outcome, CacheNote.NONE, load, answer, head.more());
     }
 
-    /** Reads what the origin says to a probe: its report stands in a header or is the body. */
+    /** Reads what the origin says to a probe: its report stands in a header. */
     public static Reply readProbe(ByteSource in) throws IOException {
         return read(in, null);
     }
@@ -131,23 +132,21 @@
             long length = Numbers.whole(head.headers.getOrDefault("content-length", "0"));
             return exactly(in, length);
         }
-        byte[] body = {};
+        ByteArrayOutputStream body = new ByteArrayOutputStream();
         for (long size = chunk(in); size > 0; size = chunk(in)) {
             byte[] part = exactly(in, size);
             in.lineEnd();
-            if (body.length + part.length > MetaCommand.MOST_VALUE) {
+            if (body.size() + part.length > MetaCommand.MOST_VALUE) {
                 throw new ProtocolException("a body of impossible length");
             }
-            int before = body.length;
-            body = Arrays.copyOf(body, before + part.length);
-            System.arraycopy(part, 0, body, before, part.length);
+            body.writeBytes(part);
         }
-        for (int i = 0; !need(in).isEmpty(); i++) {
+        for (int i = 0; !in.needLine(MOST_HEAD_LINE).isEmpty(); i++) {
             if (i > MOST_HEADERS) {
                 throw new ProtocolException("too many headers");
             }
         }
-        return body;
+        return body.toByteArray();
     }
 
     private static byte[] rest(ByteSource in) throws IOException {
@@ -172,7 +171,7 @@
     }
 
     private static long chunk(ByteSource in) throws IOException {
-        String size = need(in).split(";", 2)[0].strip();
+        String size = in.needLine(MOST_HEAD_LINE).split(";", 2)[0].strip();
         try {
             long n = Long.parseLong(size, 16);
             if (n >= 0 && n <= MOST_LIST_LINE) {
@@ -184,14 +183,6 @@
         throw new ProtocolException("a chunk of impossible length");
     }
 
-    private static String need(ByteSource in) throws IOException {
-        String line = in.line(MOST_HEAD_LINE);
-        if (line == null) {
-            throw new ProtocolException("the stream ended");
-        }
-        return line;
-    }
-
     /** The body of an answer that goes on: a stream in which lines can run over the chunks. */
     public static ByteSource stream(ByteSource in, Head head) {
         return new ByteSource(new Body(in, head.chunked()));
--- a/src/main/java/spurroad/protocol/Members.java
+++ b/src/main/java/spurroad/protocol/Members.java
@@ -18,7 +18,12 @@
     public record Member(NodeEntry entry, InetSocketAddress endpoint) { }
 
     /** The names that become numbers, by their places, and whether sizes count. */
-    public record Names(List<String> kinds, List<String> zones, boolean weighted) { }
+    public record Names(List<String> kinds, List<String> zones, boolean weighted) {
+        /** The size of a listed node as the module takes it: a steady one above zero. */
+        public double weight(double listed) {
+            return weighted && listed > 0 && listed < Float.MAX_VALUE ? listed : 1;
+        }
+    }
 
     private static final long NS_PER_MS = 1_000_000L;
     private static final long FNV_START = 0xcbf29ce484222325L; // FNV-1a of 64 bits
@@ -48,13 +53,11 @@
             case "left" -> Phase.GONE;
             default -> Phase.DRAINING;
         };
-        double size = number(entry, "capacity_hint", 1);
         long started = (long) Math.max(0, number(entry, "boot_ms", 0)) * NS_PER_MS;
         return new Member(new NodeEntry(new NodeId(hash(word(entry, "uid"))),
             new KindId(place(names.kinds, word(entry, "model"))), new ZoneId(place(names.zones, word(entry, "az"))),
             new CellId((int) number(entry, "pod_group", 0)), started,
-            names.weighted && size > 0 && size < Float.MAX_VALUE ? size : 1, phase),
-            endpoint(word(entry, "endpoint")));
+            names.weight(number(entry, "capacity_hint", 1)), phase), endpoint(word(entry, "endpoint")));
     }
 
     /** An address and a port, without asking anybody for a name. */
--- a/src/main/java/spurroad/protocol/MetaCommand.java
+++ b/src/main/java/spurroad/protocol/MetaCommand.java
@@ -1,7 +1,6 @@
 package spurroad.protocol;
 
 import java.io.IOException;
-import java.nio.charset.StandardCharsets;
 import java.util.Map;
 
 /**
@@ -14,6 +13,7 @@
     public static final int MOST_VALUE = 64 * 1024; // bytes; the protocol's
     static final int MOST_LINE = 2048; // bytes; several times what a command with all its figures takes
     private static final int MOST_KEY = 250; // bytes; memcache's
+    private static final int FLAGS_FROM = 2; // tokens; command and key come first
     private static final byte[] NO_VALUE = {};
 
     public final Kind kind;
@@ -25,6 +25,8 @@
     private final int extrasAt;
     public final byte[] value;
     public final String id;
+    /** The list of names and values, read. */
+    public final Map<String, String> pairs;
 
     private MetaCommand(Kind kind, String fault, boolean lost, String[] tokens, byte[] value) {
         this.kind = kind;
@@ -32,9 +34,10 @@
         this.lost = lost;
         this.tokens = tokens;
         this.value = value;
-        extrasAt = flag(tokens, 'P');
-        int idAt = flag(tokens, 'O');
+        extrasAt = flagAt(tokens, FLAGS_FROM, 'P');
+        int idAt = flagAt(tokens, FLAGS_FROM, 'O');
         id = idAt < 0 ? "" : tokens[idAt].substring(1);
+        pairs = Pairs.read(extras());
     }
 
     private static MetaCommand fault(String answer, boolean lost) {
@@ -90,8 +93,9 @@
         return c;
     }
 
-    private static int flag(String[] tokens, char letter) {
-        for (int i = 2; i < tokens.length; i++) {
+    /** The place of the token that begins with the letter, or -1. */
+    static int flagAt(String[] tokens, int from, char letter) {
+        for (int i = from; i < tokens.length; i++) {
             if (!tokens[i].isEmpty() && tokens[i].charAt(0) == letter) {
                 return i;
             }
@@ -108,33 +112,21 @@
         return extrasAt < 0 ? "" : tokens[extrasAt].substring(1);
     }
 
-    public Map<String, String> pairs() {
-        return Pairs.read(extras());
-    }
-
     /** How long the client waits, in milliseconds; -1 where it does not say. */
     public long waitMs() {
-        return Numbers.whole(pairs().get("d"));
+        return Numbers.whole(pairs.get("d"));
     }
 
     /** The client's guess at the work, in microseconds; zero where there is none. */
     public long hintUs() {
-        return Math.max(0, Numbers.whole(pairs().get("h")));
+        return Math.max(0, Numbers.whole(pairs.get("h")));
     }
 
     /** The command for a cache node: as it came, but for how long the proxy will wait. */
     public byte[] forNode(long waitMs) {
         String[] line = tokens.clone();
         line[extrasAt] = "P" + Pairs.with(extras(), "d", Long.toString(waitMs));
-        byte[] head = (String.join(" ", line) + "\r\n").getBytes(StandardCharsets.ISO_8859_1);
-        if (kind == Kind.READ) {
-            return head;
-        }
-        byte[] whole = new byte[head.length + value.length + 2];
-        System.arraycopy(head, 0, whole, 0, head.length);
-        System.arraycopy(value, 0, whole, head.length, value.length);
-        whole[whole.length - 2] = '\r';
-        whole[whole.length - 1] = '\n';
-        return whole;
+        String joined = String.join(" ", line);
+        return kind == Kind.READ ? MetaReply.text(joined) : MetaReply.withValue(joined, value);
     }
 }
--- a/src/main/java/spurroad/protocol/MetaReply.java
+++ b/src/main/java/spurroad/protocol/MetaReply.java
@@ -18,7 +18,7 @@
 
     /** Reads what a node says to the query with the id; an answer to another query can't be used. */
     public static Reply read(ByteSource in, String id) throws IOException {
-        String line = need(in);
+        String line = in.needLine(MetaCommand.MOST_LINE);
         String[] tokens = line.split(" ");
         LoadReport load = load(tokens);
         CacheNote note = note(tokens);
@@ -28,7 +28,7 @@
                 if (length < 0 || length > MetaCommand.MOST_VALUE) {
                     throw new ProtocolException("a value of impossible length");
                 }
-                byte[] answer = valueHead((int) length, id);
+                byte[] answer = withRoom(valueLine((int) length, id), (int) length);
                 in.bytes(answer, answer.length - 2 - (int) length, (int) length);
                 in.lineEnd();
                 sameId(tokens, id);
@@ -51,7 +51,7 @@
     public static Reply readProbe(ByteSource in) throws IOException {
         Map<String, String> report = new LinkedHashMap<>();
         for (int i = 0; i < MOST_STATS; i++) {
-            String[] tokens = need(in).split(" ");
+            String[] tokens = in.needLine(MetaCommand.MOST_LINE).split(" ");
             if (tokens[0].equals("STAT") && tokens.length > 2) {
                 report.put(tokens[1], tokens[2]);
             } else if (tokens[0].equals("END")) {
@@ -67,14 +67,6 @@
         return PROBE;
     }
 
-    private static String need(ByteSource in) throws IOException {
-        String line = in.line(MetaCommand.MOST_LINE);
-        if (line == null) {
-            throw new ProtocolException("the stream ended");
-        }
-        return line;
-    }
-
     private static void sameId(String[] tokens, String id) throws ProtocolException {
         if (!id.equals(flag(tokens, 'O'))) {
             throw new ProtocolException("an answer for another query");
@@ -82,12 +74,8 @@
     }
 
     private static String flag(String[] tokens, char letter) {
-        for (int i = 1; i < tokens.length; i++) {
-            if (!tokens[i].isEmpty() && tokens[i].charAt(0) == letter) {
-                return tokens[i].substring(1);
-            }
-        }
-        return "";
+        int at = MetaCommand.flagAt(tokens, 1, letter);
+        return at < 0 ? "" : tokens[at].substring(1);
     }
 
     private static LoadReport load(String[] tokens) {
@@ -105,17 +93,27 @@
 
     /** The message that gives a client a value. */
     public static byte[] value(byte[] value, String id) {
-        byte[] answer = valueHead(value.length, id);
-        System.arraycopy(value, 0, answer, answer.length - 2 - value.length, value.length);
-        return answer;
+        return withValue(valueLine(value.length, id), value);
+    }
+
+    private static String valueLine(int length, String id) {
+        return "VA " + length + " O" + id;
+    }
+
+    /** A line, the value that belongs to it and the end of that, as they go out. */
+    static byte[] withValue(String line, byte[] value) {
+        byte[] message = withRoom(line, value.length);
+        System.arraycopy(value, 0, message, message.length - 2 - value.length, value.length);
+        return message;
     }
 
-    private static byte[] valueHead(int length, String id) {
-        byte[] head = text("VA " + length + " O" + id);
-        byte[] answer = Arrays.copyOf(head, head.length + length + 2);
-        answer[answer.length - 2] = '\r';
-        answer[answer.length - 1] = '\n';
-        return answer;
+    /** The same, with room for a value that is still to come. */
+    private static byte[] withRoom(String line, int length) {
+        byte[] head = text(line);
+        byte[] message = Arrays.copyOf(head, head.length + length + 2);
+        message[message.length - 2] = '\r';
+        message[message.length - 1] = '\n';
+        return message;
     }
 
     /** The message that gives a client the receipt of its write. */
--- a/src/main/java/spurroad/routing/ClientConnection.java
+++ b/src/main/java/spurroad/routing/ClientConnection.java
@@ -112,7 +112,7 @@
     }
 
     private void query(Slot slot, MetaCommand command, long at) {
-        var pairs = command.pairs();
+        var pairs = command.pairs;
         int track = clients.start.figures.tracks.indexOf(pairs.getOrDefault("c", ""));
         int customer = clients.start.figures.customers.indexOf(pairs.getOrDefault("t", ""));
         if (track < 0 || customer < 0 && pairs.containsKey("t") && !clients.start.figures.customers.isEmpty()) {
--- a/src/main/java/spurroad/routing/Dialect.java
+++ b/src/main/java/spurroad/routing/Dialect.java
@@ -1,7 +1,6 @@
 package spurroad.routing;
 
 import java.io.IOException;
-import java.util.Map;
 import spurroad.protocol.ByteSource;
 import spurroad.protocol.Http;
 import spurroad.protocol.MetaCommand;
@@ -34,7 +33,7 @@
         return new Dialect() {
             @Override
             public byte[] message(MetaCommand query, long waitMs) {
-                return query == null ? Http.get("/_load", host, Map.of()) : Http.forOrigin(query, host);
+                return query == null ? Http.get("/_load", host) : Http.forOrigin(query, host);
             }
 
             @Override
--- a/src/main/java/spurroad/routing/ListWatch.java
+++ b/src/main/java/spurroad/routing/ListWatch.java
@@ -2,7 +2,6 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.util.Map;
 import spurroad.protocol.ByteSource;
 import spurroad.protocol.Http;
 import spurroad.protocol.Json;
@@ -32,7 +31,7 @@
     public ListWatch(ProxyStart start, Threads threads, EventLog log, Decider decider) {
         super(threads, log, MAILBOX);
         discovery = start.discovery;
-        names = start.names;
+        names = start.figures.names;
         revision = start.known.revision();
         this.threads = threads;
         this.log = log;
@@ -63,7 +62,7 @@
             connection.connect(discovery, CONNECT_MS);
             connection.mostSilence(SILENT_MS);
             String host = discovery.getHostString() + ":" + discovery.getPort();
-            connection.write(Http.get("/catalog/members?follow=1&since=" + since, host, Map.of()));
+            connection.write(Http.get("/catalog/members?follow=1&since=" + since, host));
             ByteSource in = new ByteSource(connection.in());
             Http.Head head = Http.head(in);
             if (head.status() != OK) {
--- a/src/main/java/spurroad/start/ProxyStart.java
+++ b/src/main/java/spurroad/start/ProxyStart.java
@@ -29,7 +29,6 @@
     /** How many connections of all kinds fit into the limits on descriptors and on memory. */
     public final int places;
     public final Members known;
-    public final Members.Names names;
     public final StartFigures figures;
 
     /** Reads the file that the environment names. */
@@ -60,11 +59,11 @@
         Map<?, ?> limits = whole.get("limits") == null ? Map.of() : object(whole.get("limits"), "limits");
         memoryMb = (int) number(limits, "limits.", "memory_mb", MEMORY_MB, LEAST_MEMORY_MB);
         int sockets = (int) number(limits, "limits.", "sockets", SOCKETS, LEAST_SOCKETS);
-        places = (int) Math.min(sockets - OWN_SOCKETS, Math.max(LEAST_PLACES, (memoryMb * (1 - HEAP_SHARE) - OWN_MB) / PLACE_MB));
+        double fitting = (memoryMb * (1 - HEAP_SHARE) - OWN_MB) / PLACE_MB;
+        places = (int) Math.min(sockets - OWN_SOCKETS, Math.max(LEAST_PLACES, fitting));
         figures = StartFigures.ofJson(object(whole.get("settings"), "settings"));
-        names = new Members.Names(figures.kinds, figures.zones, figures.weighted);
         try {
-            known = Members.read(object(whole.get("known"), "known"), names);
+            known = Members.read(object(whole.get("known"), "known"), figures.names);
         } catch (ProtocolException e) {
             throw new FaultyKeyException("known holds " + e.getMessage());
         }
--- a/src/main/java/spurroad/start/StartFigures.java
+++ b/src/main/java/spurroad/start/StartFigures.java
@@ -7,6 +7,7 @@
 import spurroad.model.Effect;
 import spurroad.model.KindId;
 import spurroad.model.Track;
+import spurroad.protocol.Members;
 
 /**
  * What a proxy is told of its deployment at start, turned into what the program uses; the same for the simulator's
@@ -18,14 +19,12 @@
     private static final int MOST_OPEN = 20_000; // queries; where no limit is told
     public final Deployment deployment;
     public final List<String> reportColumns;
-    /** Whether list entries carry a steady size. */
-    public final boolean weighted;
+    /** How the list's entries are read. */
+    public final Members.Names names;
     public final long connectNs;
     public final int mostOpen;
     public final List<String> tracks;
     public final List<String> customers;
-    public final List<String> kinds;
-    public final List<String> zones;
 
     public static StartFigures ofLines(String text) {
         return new StartFigures(Figures.ofLines(text));
@@ -37,14 +36,13 @@
 
     private StartFigures(Figures figures) {
         String weights = figures.text("weights", "off");
-        weighted = weights.equals("nominal") || weights.equals("rough");
+        names = new Members.Names(figures.list("kinds"), figures.list("failureDomains"),
+            weights.equals("nominal") || weights.equals("rough"));
         reportColumns = figures.list("report.columns");
         connectNs = figures.time("allowed.connectTimeoutUs", CONNECT_NS / NS_PER_US);
         mostOpen = Math.max(1, (int) figures.number("allowed.maxOpen", MOST_OPEN));
         tracks = figures.each("tracks", "name");
         customers = figures.each("projects", "name");
-        kinds = figures.list("kinds");
-        zones = figures.list("failureDomains");
         deployment = deployment(figures, reportColumns);
     }
 
--- a/src/main/java/spurroad/wirehost/WireHost.java
+++ b/src/main/java/spurroad/wirehost/WireHost.java
@@ -26,6 +26,7 @@
 import spurroad.model.QueryId;
 import spurroad.model.TrackId;
 import spurroad.model.ZoneId;
+import spurroad.protocol.Members;
 import spurroad.start.FaultyKeyException;
 import spurroad.start.StartFigures;
 
@@ -53,13 +54,13 @@
     private static final class Hosted {
         private final Balance balance;
         private final List<String> columns;
-        private final boolean weighted;
+        private final Members.Names names;
         private long armedNs = Long.MAX_VALUE;
 
         private Hosted(Balance balance, StartFigures lines) {
             this.balance = balance;
             columns = lines.reportColumns;
-            weighted = lines.weighted;
+            names = lines.names;
         }
     }
 
@@ -175,7 +176,7 @@
             case ENDPOINTS: {
                 int scope = f.get();
                 f.getLong();
-                List<NodeEntry> entries = entries(f, host.weighted);
+                List<NodeEntry> entries = entries(f, host.names);
                 return scope == SCOPE_FAILED ? () -> to.listFailed(now, decisions)
                     : () -> to.listed(now, entries, scope != SCOPE_DELTA, decisions);
             }
@@ -221,7 +222,7 @@
         }
     }
 
-    private static List<NodeEntry> entries(ByteBuffer f, boolean weighted) {
+    private static List<NodeEntry> entries(ByteBuffer f, Members.Names names) {
         int count = f.getInt();
         if (count < 0 || (long) count * ENTRY_BYTES > f.remaining()) {
             throw new IllegalArgumentException("count");
@@ -232,7 +233,7 @@
             ZoneId zone = new ZoneId(f.get() & 0xff);
             long started = Math.max(0, Math.min(f.getLong(), Long.MAX_VALUE / NS_PER_US)) * NS_PER_US;
             float size = f.getFloat();
-            double weight = weighted && size > 0 && size < Float.MAX_VALUE ? size : 1;
+            double weight = names.weight(size);
             NodeId node = node(f);
             Phase phase = switch (f.get()) {
                 case 1 -> Phase.GONE;
--- a/src/test/java/spurroad/start/ProxyStartTest.java
+++ b/src/test/java/spurroad/start/ProxyStartTest.java
@@ -31,7 +31,8 @@
         assertEquals(lines.deployment.originKind(), new KindId(1));
         assertEquals(lines.deployment.tracks().get(1).effect(), Effect.DEDUPLICATED);
         assertTrue(lines.deployment.tellsQueue());
-        assertEquals(List.of(start.figures.tracks, start.figures.customers, start.figures.kinds, start.figures.zones),
+        assertEquals(List.of(start.figures.tracks, start.figures.customers,
+                start.figures.names.kinds(), start.figures.names.zones()),
             List.of(List.of("read", "put"), List.of("acme"), List.of("m1", "origin"), List.of("a")));
         assertEquals(List.of(start.name, start.seed, start.known.revision()), List.of("n1", 0x7fL, 41L));
     }
