Closing in one place, the busy answer made once, a branch that never ran removed

Found on rereading. Since idle clients need 50 ms of rest, ClientConnection.written asked closeIfIdle in vain; the check before a close stood there twice. Clients.busy walked the tracks for each rejection. Behaviour is as before.

--- a/src/main/java/spurroad/routing/ClientConnection.java
+++ b/src/main/java/spurroad/routing/ClientConnection.java
@@ -27,7 +27,7 @@
     private static final int CLOSED = Integer.MIN_VALUE / 2; // far below zero, whatever is still counted down
     private static final long SLOW_NS = 10_000_000_000L; // ns; a client that takes or sends nothing so long is gone
     private static final long REST_NS = 50_000_000L; // ns; a client that goes on at once has done so by then
-    private static final long HOLDING_NS = 1_000_000_000L; // ns; the same where memory is short, and for guests and new ones: a long pause
+    private static final long HOLDING_NS = 1_000_000_000L; // ns; the same for guests, new ones, short memory
 
     /** The place of one command's answer in the order of answers. */
     private static final class Slot {
@@ -119,10 +119,10 @@
             clients.log.trouble("a client's command can't be used", this + ", " + command.extras());
             slot.answer = MetaReply.text("CLIENT_ERROR unknown " + (track < 0 ? "class" : "tenant"));
         } else if (guest) {
-            slot.answer = clients.busy();
+            slot.answer = clients.busy;
         } else if (!clients.room.take(Clients.QUERY_BYTES + command.value.length)) {
             clients.log.trouble("no room for a query", this);
-            slot.answer = clients.busy();
+            slot.answer = clients.busy;
         } else {
             slot.queryRoom = Clients.QUERY_BYTES + command.value.length;
             slot.query = new Query(this, command, new TrackId(track), new CustomerId(customer), at);
@@ -165,8 +165,8 @@
                 connection.write(slot.answer);
             }
             // at once: the client takes the connection for its next query as soon as it has the answer
-            if (goes && !connection.unread() && open.compareAndSet(ready.size(), CLOSED)) {
-                connection.close();
+            if (goes) {
+                closeAfter(ready.size());
             }
         } catch (IOException e) {
             connection.close();
@@ -182,10 +182,9 @@
         ahead.release(ready.size());
         idleSince = clients.clock.now();
         answered = true;
+        open.addAndGet(-ready.size());
         if (ready.get(ready.size() - 1).last) {
             close();
-        } else if (open.addAndGet(-ready.size()) == 0 && (guest || clients.ending())) {
-            closeIfIdle();
         }
         flush();
     }
@@ -219,12 +218,17 @@
     }
 
     /** Closes it between two commands, from any thread; one that the reader has begun keeps it open. */
-    boolean closeIfIdle() {
-        boolean done = idle() && !connection.unread() && open.compareAndSet(0, CLOSED);
-        if (done) {
+    void closeIfIdle() {
+        if (idle()) {
+            closeAfter(0);
+        }
+    }
+
+    /** Closes it unless more has come than the commands that have had their answers. */
+    private void closeAfter(int answers) {
+        if (!connection.unread() && open.compareAndSet(answers, CLOSED)) {
             connection.close();
         }
-        return done;
     }
 
     /** Closes it where the client takes its answers too slowly for the memory that they hold. */
--- a/src/main/java/spurroad/routing/Clients.java
+++ b/src/main/java/spurroad/routing/Clients.java
@@ -27,6 +27,8 @@
     final Clock clock;
     final Decider decider;
     final Room room;
+    /** The answer to a query for which the proxy itself has no place: nothing was sent, and when to come again. */
+    final byte[] busy;
     private final Set<ClientConnection> connections = ConcurrentHashMap.newKeySet();
     private volatile boolean ending;
 
@@ -38,6 +40,9 @@
         this.decider = decider;
         long memory = Math.min(start.memoryMb * MIB / ROOM_SHARE, Runtime.getRuntime().maxMemory() / HEAP_SHARE);
         room = new Room(Math.min(memory, (long) start.figures.mostOpen * QUERY_BYTES));
+        Deployment figures = start.figures.deployment;
+        long slo = figures.tracks().stream().mapToLong(Track::sloNs).min().orElse(0);
+        busy = MetaReply.rejected(Math.min(figures.maxComeBackNs(), slo / 2) / NS_PER_MS);
     }
 
     @Override
@@ -75,13 +80,6 @@
         }
     }
 
-    /** The answer to a query for which the proxy itself has no place: nothing was sent, and when to come again. */
-    byte[] busy() {
-        Deployment figures = start.figures.deployment;
-        long slo = figures.tracks().stream().mapToLong(Track::sloNs).min().orElse(0);
-        return MetaReply.rejected(Math.min(figures.maxComeBackNs(), slo / 2) / NS_PER_MS);
-    }
-
     boolean ending() {
         return ending;
     }
--- a/src/main/java/spurroad/routing/NodeActor.java
+++ b/src/main/java/spurroad/routing/NodeActor.java
@@ -1,6 +1,5 @@
 package spurroad.routing;
 
-import java.io.IOException;
 import java.util.ArrayDeque;
 import java.util.Deque;
 import spurroad.model.CacheNote;
@@ -28,7 +27,7 @@
 
     private static final int MAILBOX = 8192; // messages; some for each query under way
     private static final double KEPT = 0.8; // of the time until the node closes an idle one: no query crosses that
-    private static final long SHORT_NS = 10_000_000L; // ns; until a place is asked for again: idle connections are closed within that
+    private static final long SHORT_NS = 10_000_000L; // ns; between askings for a place: idle ones close within that
 
     private final Surroundings around;
     private final NodeId id;
@@ -208,7 +207,7 @@
         }
         if (c.errand != e) {
             // two answers to one errand: the second is nobody's, nor is what may follow
-            around.log.trouble("a node's answer can't be used", name + ", an answer to nothing");
+            unusable(NodeConnection.TO_NOTHING);
             idle.remove(c);
             c.cut();
             return;
@@ -239,7 +238,7 @@
         around.descriptors.giveFromNode();
     }
 
-    void unusable(IOException why) {
-        around.log.trouble("a node's answer can't be used", name + ", " + why.getMessage());
+    void unusable(String why) {
+        around.log.trouble("a node's answer can't be used", name + ", " + why);
     }
 }
--- a/src/main/java/spurroad/routing/NodeConnection.java
+++ b/src/main/java/spurroad/routing/NodeConnection.java
@@ -12,6 +12,7 @@
  * closes the socket for good and gives its place back when it ends. Its node's actor may close the socket earlier.
  */
 final class NodeConnection implements Runnable {
+    static final String TO_NOTHING = "an answer to nothing";
     private static final long NS_PER_MS = 1_000_000L;
     private final NodeActor node;
     private final Dialect dialect;
@@ -46,13 +47,13 @@
             while (in.await()) {
                 Errand e = errand;
                 if (e == null) {
-                    throw new ProtocolException("an answer to nothing");
+                    throw new ProtocolException(TO_NOTHING);
                 }
                 Reply reply = dialect.reply(in, e.command());
                 node.tell(() -> node.replied(this, e, reply));
             }
         } catch (ProtocolException e) {
-            node.unusable(e);
+            node.unusable(e.getMessage());
         } catch (IOException e) {
             // what it means for the errand depends on what was written; the actor tells
         } finally {
--- a/src/main/java/spurroad/transport/Connection.java
+++ b/src/main/java/spurroad/transport/Connection.java
@@ -2,7 +2,6 @@
 
 import java.io.IOException;
 import java.io.InputStream;
-import java.io.OutputStream;
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.net.SocketException;
@@ -43,8 +42,7 @@
 
     /** Returns once the system has taken the last byte; may wait for a slow peer. */
     public void write(byte[] message) throws IOException {
-        OutputStream out = socket.getOutputStream();
-        out.write(message);
+        socket.getOutputStream().write(message);
     }
 
     /** Whether something came in that nobody has read. */
