--- a/src/test/java/spurroad/program/ServiceTest.java
+++ b/src/test/java/spurroad/program/ServiceTest.java
@@ -45,6 +45,14 @@
             Rig.target("s-o", "origin", origin.port, "active", 0));
     }
 
+    private static void await(CountDownLatch latch) {
+        try {
+            latch.await();
+        } catch (InterruptedException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+
     @DataProvider
     Object[][] queries() {
         Function<String, String> miss = m -> "EN O" + id(m) + "\r\n";
@@ -110,11 +118,7 @@
             if (m.contains("O2")) {
                 second.countDown();
             } else if (m.contains("O1")) {
-                try {
-                    second.await();
-                } catch (InterruptedException e) {
-                    throw new IllegalStateException(e);
-                }
+                await(second);
             }
             return hit("v").apply(m);
         };
@@ -211,11 +215,7 @@
     public void theEndAnswersWhatWasTakenAndLetsNobodyElseIn() throws Exception {
         CountDownLatch ending = new CountDownLatch(1);
         Function<String, String> held = m -> {
-            try {
-                ending.await();
-            } catch (InterruptedException e) {
-                throw new IllegalStateException(e);
-            }
+            await(ending);
             return hit("v").apply(m);
         };
         try (Peer n = new Peer(held); Peer o = new Peer(m -> ok(""))) {
