SIGHUP reads the configuration again; the list follows discovery's new address at once

Nothing handled the signal, so the virtual machine's default ended it (Main.serve had a shutdown hook only), and ListWatch had a fixed address. Now a sound file is compared: a new discovery address starts a watch there at once, the former watch counts until the new one has spoken; keys that can't change are named in the log; a faulty file is named by its key and changes nothing.

--- a/src/main/java/spurroad/program/Main.java
+++ b/src/main/java/spurroad/program/Main.java
@@ -8,6 +8,7 @@
 import spurroad.start.ProxyStart;
 import spurroad.wirehost.WireException;
 import spurroad.wirehost.WireHost;
+import sun.misc.Signal;
 
 /** The command line. */
 public final class Main {
@@ -38,6 +39,7 @@
             ProxyStart start = ProxyStart.ofEnvironment(System.getenv());
             try {
                 Service service = new Service(start);
+                Signal.handle(new Signal("HUP"), hup -> service.reload(() -> ProxyStart.ofEnvironment(System.getenv())));
                 Runtime.getRuntime().addShutdownHook(new Thread(() -> shutDown(service)));
             } catch (IOException e) {
                 end("spurroad: can't listen at " + start.listen + ": " + e.getMessage(), FAILED);
--- a/src/main/java/spurroad/program/Service.java
+++ b/src/main/java/spurroad/program/Service.java
@@ -1,9 +1,12 @@
 package spurroad.program;
 
 import java.io.IOException;
+import java.util.List;
+import java.util.function.Supplier;
 import spurroad.routing.Clients;
 import spurroad.routing.Decider;
 import spurroad.routing.ListWatch;
+import spurroad.start.FaultyKeyException;
 import spurroad.start.ProxyStart;
 import spurroad.transport.Clock;
 import spurroad.transport.Descriptors;
@@ -21,16 +24,20 @@
     private final EventLog log = new EventLog();
     private final Listener listener;
     private final Clients clients;
+    private final ListWatch list;
+    private ProxyStart start;
 
     /** Starts it; it takes queries once this returns. */
     public Service(ProxyStart start) throws IOException {
+        this.start = start;
         Threads threads = new Threads(log);
         Clock clock = new Clock();
         Descriptors descriptors = new Descriptors(start.places);
         Decider decider = new Decider(start, threads, log, clock, descriptors);
         clients = new Clients(start, threads, log, clock, decider);
         listener = new Listener(start.listen, descriptors, clients, log);
-        decider.follows(new ListWatch(start, threads, log, decider));
+        list = new ListWatch(start, threads, log, decider);
+        decider.follows(list);
         decider.listed(start.known);
         threads.start("module", decider);
         threads.start("listener", listener::run);
@@ -42,6 +49,24 @@
         return listener.port();
     }
 
+    /** Reads what it is started with again; a new address of discovery counts at once, a faulty file not at all. */
+    public synchronized void reload(Supplier<ProxyStart> file) {
+        try {
+            ProxyStart next = file.get();
+            List<String> kept = start.changedBesidesDiscovery(next);
+            if (!kept.isEmpty()) {
+                log.event("changes that need a new start", String.join(", ", kept));
+            }
+            if (!next.discovery.equals(start.discovery)) {
+                list.moved(next.discovery);
+            }
+            log.event("configuration read again", "discovery at " + next.discovery);
+            start = next;
+        } catch (FaultyKeyException e) {
+            log.trouble("configuration kept, the new one is faulty", e.getMessage());
+        }
+    }
+
     /** Goes on accepting for a while, answers all that was taken, and returns when no client is left. */
     public void end() throws InterruptedException {
         log.event("ending", clients.count() + " clients connected");
--- a/src/main/java/spurroad/start/ProxyStart.java
+++ b/src/main/java/spurroad/start/ProxyStart.java
@@ -4,7 +4,12 @@
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.Comparator;
+import java.util.List;
 import java.util.Map;
+import java.util.Objects;
+import java.util.Set;
+import java.util.TreeSet;
 import spurroad.protocol.Json;
 import spurroad.protocol.Members;
 import spurroad.protocol.ProtocolException;
@@ -21,6 +26,8 @@
     private static final double PLACE_MB = 0.08; // MiB; a connection with its thread: 77 KiB were seen
     private static final int LEAST_PLACES = 32; // connections; with less memory we hope rather than serve nobody
 
+    private static final Set<String> TOLD_ANEW = Set.of("discovery", "seed", "known"); // keys; they change with each file
+
     public final String name;
     public final InetSocketAddress listen;
     public final InetSocketAddress discovery;
@@ -30,6 +37,7 @@
     public final int places;
     public final Members known;
     public final StartFigures figures;
+    private final Map<?, ?> whole;
 
     /** Reads the file that the environment names. */
     public static ProxyStart ofEnvironment(Map<String, String> environment) {
@@ -51,7 +59,7 @@
         } catch (ProtocolException e) {
             throw new FaultyKeyException("BALANCER_CONFIG is " + e.getMessage());
         }
-        Map<?, ?> whole = object(json, "the whole");
+        whole = object(json, "the whole");
         name = text(whole, "name");
         listen = address(whole, "listen");
         discovery = address(whole, "discovery");
@@ -69,6 +77,16 @@
         }
     }
 
+    /** The keys whose values differ in another, but for where discovery is: they count from a new start on. */
+    public List<String> changedBesidesDiscovery(ProxyStart other) {
+        Set<Object> keys = new TreeSet<>(Comparator.comparing(String::valueOf));
+        keys.addAll(whole.keySet());
+        keys.addAll(other.whole.keySet());
+        keys.removeAll(TOLD_ANEW);
+        keys.removeIf(key -> Objects.equals(whole.get(key), other.whole.get(key)));
+        return keys.stream().map(String::valueOf).toList();
+    }
+
     private static Map<?, ?> object(Object json, String key) {
         if (json instanceof Map<?, ?> object) {
             return object;
--- a/src/test/java/spurroad/program/ServiceTest.java
+++ b/src/test/java/spurroad/program/ServiceTest.java
@@ -207,6 +207,34 @@
         }
     }
 
+    /** The program ended on SIGHUP. Discovery moves twice at once, once to where nobody answers yet. */
+    @Test
+    public void aNewAddressOfDiscoveryIsFollowedAtOnceAndAFaultyFileChangesNothing() throws Exception {
+        try (Peer a = new Peer(hit("a")); Peer b = new Peer(hit("b")); Peer silent = new Peer(m -> null);
+             Peer second = new Peer(m -> WATCH + chunk(Rig.list(9, true, Rig.target("s-b", "m1", b.port, "active", 0))));
+             Peer first = new Peer(m -> WATCH + chunk(Rig.list(7, true, Rig.target("s-a", "m1", a.port, "active", 0))))) {
+            Service s = proxy(first, 256, Rig.target("s-a", "m1", a.port, "active", 0));
+            try (Client c = new Client(s.port())) {
+                assertEquals(c.say(READ).line() + c.line(), "VA 1 O1a");
+                first.await("GET");
+                for (String faulty : List.of("", "{", Rig.start(1, 256, "{}"))) {
+                    s.reload(() -> new ProxyStart(faulty));
+                }
+                s.reload(() -> new ProxyStart(Rig.start(silent.port, 256, Rig.list(1, true))));
+                s.reload(() -> new ProxyStart(Rig.start(second.port, 256, Rig.list(1, true))));
+                assertNotNull(second.await("GET /catalog/members?follow=1&since="));
+                assertEquals(first.await("closed"), "closed", "the old watch ends once the new one has spoken");
+                String line = c.say(READ).line() + c.line();
+                for (int i = 0; i < 2000 && !line.equals("VA 1 O1b"); i++) {
+                    assertEquals(line, "VA 1 O1a", "no query notices");
+                    line = c.say(READ).line() + c.line();
+                }
+                assertEquals(line, "VA 1 O1b");
+                assertEquals(first.connections.get(), 1, "a faulty file is no reason to ask again");
+            }
+        }
+    }
+
     private static String chunk(String line) {
         return Integer.toHexString(line.length() + 1) + "\r\n" + line + "\n\r\n";
     }
--- a/src/test/java/spurroad/start/ProxyStartTest.java
+++ b/src/test/java/spurroad/start/ProxyStartTest.java
@@ -46,6 +46,14 @@
         assertEquals(new ProxyStart(GOOD.replaceFirst("\"limits\":\\{[^}]*\\},", "")).places, all);
     }
 
+    @Test
+    public void whatChangedAndNeedsANewStartIsNamed() {
+        String other = GOOD.replace(":8500", ":8600").replace("\"seed\":\"7f\"", "\"seed\":\"8\"");
+        assertEquals(new ProxyStart(GOOD).changedBesidesDiscovery(new ProxyStart(other)), List.of());
+        other = other.replace(":192", ":256").replace("\"n1\"", "\"n2\"");
+        assertEquals(new ProxyStart(GOOD).changedBesidesDiscovery(new ProxyStart(other)), List.of("limits", "name"));
+    }
+
     @DataProvider
     Object[][] faults() {
         return new Object[][] {{"{", "BALANCER_CONFIG", "JSON"}, {"[]", "the whole", "object"},
