Connections rest and are checked clean; bad commands stop here; actors run on the threads that tell them

A trace of all bytes showed origin answers with 'Content-Length: -1' before a second, right one (Http.oneHead kept the last), and second copies or noise behind good answers, which NodeConnection.run took for the answer to the next query where it was already set. Now two lengths, or one beside chunks, are spoilt; bytes behind an answer end its connection; a connection rests 10 ms between two executions; an answer that stalls for 300 ms is spoilt. Nodes answered CLIENT_ERROR to commands of bad clients, which counted against healthy nodes: ids of open queries, doubled or empty flags and names, control bytes, a marked track with no mark are refused here. Silent clients and half commands are closed after 2 s, senders of nonsense read 100 ms later, an error is followed by reading on for a while so that it arrives. Messages now run on the thread that tells them where that is a connection's, writes on the thread that worked the mailbox, threads of connections are used again.

--- a/src/main/java/spurroad/program/Service.java
+++ b/src/main/java/spurroad/program/Service.java
@@ -34,7 +34,7 @@
         Clock clock = new Clock();
         Descriptors descriptors = new Descriptors(start.places);
         Decider decider = new Decider(start, threads, log, clock, descriptors);
-        clients = new Clients(start, threads, log, clock, decider);
+        clients = new Clients(start, threads, log, clock, decider, descriptors.leftForClients());
         listener = new Listener(start.listen, descriptors, clients, log);
         list = new ListWatch(start, threads, log, decider);
         decider.follows(list);
--- a/src/main/java/spurroad/protocol/ByteSource.java
+++ b/src/main/java/spurroad/protocol/ByteSource.java
@@ -75,9 +75,16 @@
         return n;
     }
 
-    /** Drops what has been read and not taken. */
-    public void drop() {
+    /** Drops what has been read and not taken, and tells how much that was. */
+    public int drop() {
+        int dropped = to - from;
         from = to;
+        return dropped;
+    }
+
+    /** Whether more has come than was taken. */
+    public boolean more() throws IOException {
+        return from < to || in.available() > 0;
     }
 
     /** As many bytes, into an array at a place. */
--- a/src/main/java/spurroad/protocol/Http.java
+++ b/src/main/java/spurroad/protocol/Http.java
@@ -8,6 +8,7 @@
 import java.util.HashMap;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Set;
 import spurroad.model.CacheNote;
 import spurroad.model.LoadReport;
 import spurroad.model.Outcome;
@@ -17,6 +18,7 @@
     private static final int MOST_HEAD_LINE = 8192; // bytes; the usual bound of servers
     private static final int MOST_HEADERS = 100; // lines; the usual bound of servers
     private static final int MOST_LIST_LINE = 1024 * 1024; // bytes; six thousand nodes, which the heap still holds
+    private static final Set<String> FRAMING = Set.of("content-length", "transfer-encoding"); // where a body ends
     private static final String PLAIN = "-._~"; // besides letters and digits, what a path holds as it is
 
     /** The first line and the headers of an answer, by their names in small letters. */
@@ -92,13 +94,19 @@
         for (int i = 0; i < MOST_HEADERS; i++) {
             String header = in.needLine(MOST_HEAD_LINE);
             if (header.isEmpty()) {
+                if (headers.keySet().containsAll(FRAMING)) {
+                    throw new ProtocolException("a length beside chunks");
+                }
                 return new Head((int) status, headers);
             }
             int cut = header.indexOf(':');
             if (cut <= 0) {
                 throw new ProtocolException("a header without a name");
             }
-            headers.put(header.substring(0, cut).toLowerCase(Locale.ROOT), header.substring(cut + 1).strip());
+            String name = header.substring(0, cut).toLowerCase(Locale.ROOT);
+            if (headers.put(name, header.substring(cut + 1).strip()) != null && FRAMING.contains(name)) {
+                throw new ProtocolException("two headers " + name);
+            }
         }
         throw new ProtocolException("too many headers");
     }
@@ -174,7 +182,7 @@
         String size = in.needLine(MOST_HEAD_LINE).split(";", 2)[0].strip();
         try {
             long n = Long.parseLong(size, 16);
-            if (n >= 0 && n <= MOST_LIST_LINE) {
+            if (n >= 0 && n <= MOST_LIST_LINE && Character.digit(size.charAt(0), 16) >= 0) {
                 return n;
             }
         } catch (NumberFormatException e) {
--- a/src/main/java/spurroad/protocol/MetaCommand.java
+++ b/src/main/java/spurroad/protocol/MetaCommand.java
@@ -1,6 +1,7 @@
 package spurroad.protocol;
 
 import java.io.IOException;
+import java.util.List;
 import java.util.Map;
 
 /**
@@ -13,6 +14,9 @@
     public static final int MOST_VALUE = 64 * 1024; // bytes; the protocol's
     static final int MOST_LINE = 2048; // bytes; several times what a command with all its figures takes
     private static final int MOST_KEY = 250; // bytes; memcache's
+    private static final int MOST_ID = 32; // bytes; memcache's
+    private static final long MOST_WAIT_MS = 3_600_000; // ms; no client waits an hour
+    private static final List<String> FIGURES = List.of("d", "h"); // names; whole numbers, where they are given
     private static final int FLAGS_FROM = 2; // tokens; command and key come first
     private static final byte[] NO_VALUE = {};
 
@@ -84,13 +88,25 @@
         if (tokens.length < 2 || tokens[1].isEmpty() || tokens[1].length() > MOST_KEY) {
             return fault("CLIENT_ERROR bad key", false);
         }
-        if (c.id.isEmpty()) {
+        if (c.id.isEmpty() || c.id.length() > MOST_ID) {
             return fault("CLIENT_ERROR no request id", false);
         }
-        if (c.waitMs() < 0) {
+        if (c.waitMs() < 0 || c.waitMs() > MOST_WAIT_MS) {
             return fault("CLIENT_ERROR no time to wait", false);
         }
-        return c;
+        return c.asNodesTakeIt() ? c : fault("CLIENT_ERROR bad command line format", false);
+    }
+
+    /** Whether a node can read it; one that can't would close the connection on whatever else comes there. */
+    private boolean asNodesTakeIt() {
+        boolean form = tokens.length == FLAGS_FROM + 3 && (kind == Kind.WRITE || tokens[FLAGS_FROM].equals("v"));
+        for (String token : tokens) {
+            form &= !token.isEmpty() && token.chars().allMatch(c -> c > ' ' && c < 0x7f);
+        }
+        int names = extras().split(",", -1).length; // each once, and with a value
+        return form && flagAt(tokens, FLAGS_FROM + 1, 'O') > 0 && extrasAt > 0 && pairs.size() == names
+            && !pairs.containsValue("") && FIGURES.stream().allMatch(
+                name -> !pairs.containsKey(name) || Numbers.whole(pairs.get(name)) >= 0);
     }
 
     /** The place of the token that begins with the letter, or -1. */
--- a/src/main/java/spurroad/protocol/Pairs.java
+++ b/src/main/java/spurroad/protocol/Pairs.java
@@ -6,6 +6,8 @@
 
 /** Lists of names and values, as in `inflight=7,queue=2`. */
 public final class Pairs {
+    private static final double MOST_QUEUED = 1e6; // queries; no node holds as many: such a report tells nothing
+
     private Pairs() { }
 
     public static Map<String, String> read(String text) {
@@ -37,6 +39,7 @@
 
     private static double figure(Map<String, String> report, String name, String otherName) {
         String text = report.getOrDefault(name, report.get(otherName));
-        return text == null ? Double.NaN : Numbers.decimal(text);
+        double figure = text == null ? Double.NaN : Numbers.decimal(text);
+        return figure >= 0 && figure <= MOST_QUEUED ? figure : Double.NaN;
     }
 }
--- a/src/main/java/spurroad/protocol/Reply.java
+++ b/src/main/java/spurroad/protocol/Reply.java
@@ -10,4 +10,9 @@
  * @param answer the whole message for the client where the query was completed, else null
  * @param more   whether the connection can carry another
  */
-public record Reply(Outcome outcome, CacheNote note, LoadReport load, byte[] answer, boolean more) { }
+public record Reply(Outcome outcome, CacheNote note, LoadReport load, byte[] answer, boolean more) {
+    /** The same, but the connection carries no other: more came than belongs to it. */
+    public Reply last() {
+        return new Reply(outcome, note, load, answer, false);
+    }
+}
--- a/src/main/java/spurroad/routing/ClientConnection.java
+++ b/src/main/java/spurroad/routing/ClientConnection.java
@@ -7,14 +7,11 @@
 import java.util.List;
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.atomic.AtomicInteger;
-import spurroad.model.CustomerId;
-import spurroad.model.TrackId;
 import spurroad.protocol.ByteSource;
 import spurroad.protocol.MetaCommand;
 import spurroad.protocol.MetaReply;
 import spurroad.transport.Actor;
 import spurroad.transport.Connection;
-import spurroad.transport.Threads;
 
 /**
  * One connection of a client. Its reader thread reads commands for as long as it lasts, closes the socket for good and
@@ -25,9 +22,13 @@
     private static final int MOST_WAITING = 16; // commands; read ahead of their answers
     private static final int MAILBOX = 8 * MOST_WAITING; // messages; some for each command
     private static final int CLOSED = Integer.MIN_VALUE / 2; // far below zero, whatever is still counted down
-    private static final long SLOW_NS = 10_000_000_000L; // ns; a client that takes or sends nothing so long is gone
+    private static final long SLOW_NS = 10_000_000_000L; // ns; a client that takes nothing so long is gone
     private static final long REST_NS = 50_000_000L; // ns; a client that goes on at once has done so by then
-    private static final long HOLDING_NS = 1_000_000_000L; // ns; the same for guests, new ones, short memory
+    private static final long FRESH_NS = 250_000_000L; // ns; who opens a connection for a query sends it sooner
+    private static final long HOLDING_NS = 1_000_000_000L; // ns; for guests, and for answers where memory is short
+    private static final long IDLE_NS = 2_000_000_000L; // ns; so long without a whole command: owed a word or a close
+    private static final long FAULT_REST_MS = 100; // ms; who sends nonsense again at once costs others nothing
+    private static final int LAST_BYTES = 256 * 1024; // bytes; read on after a last answer, so that it arrives
 
     /** The place of one command's answer in the order of answers. */
     private static final class Slot {
@@ -76,56 +77,71 @@
                 long at = clients.clock.now();
                 begunAt = Long.MAX_VALUE;
                 ahead.acquire();
-                tell(() -> taken(command, at));
+                String fault = fault(command);
+                tellHere(() -> taken(command, fault, at), true);
                 more = !command.lost;
+                if (more && fault != null) {
+                    Thread.sleep(FAULT_REST_MS);
+                }
             }
-            while (!more && in.await()) {
-                in.drop(); // until the answer has gone out and the actor closes
+            for (int dropped = 0; !more && dropped < LAST_BYTES && in.await(); ) {
+                dropped += in.drop(); // a close upon unread bytes would overtake the answer
             }
         } catch (IOException | InterruptedException e) {
             // a client that goes breaks its connection; told below
         } finally {
-            tell(this::left);
+            tellHere(this::left, true);
             connection.end();
             clients.ended(this);
         }
     }
 
+    /** What is wrong with a command, or null; what no node is to see ends here. */
+    private String fault(MetaCommand command) {
+        return switch (command.kind) {
+            case FAULT -> command.fault;
+            case READY -> null;
+            default -> clients.refusal(command);
+        };
+    }
+
     // ---- the actor
 
-    private void taken(MetaCommand command, long at) {
+    private void taken(MetaCommand command, String fault, long at) {
         if (closed) {
             return;
         }
         Slot slot = new Slot();
         slots.add(slot);
-        switch (command.kind) {
-            case READY -> slot.answer = MetaReply.ready();
-            case FAULT -> {
-                clients.log.trouble("a client's command can't be used", this + ", " + command.fault);
-                slot.answer = MetaReply.text(command.fault);
-                slot.last = command.lost;
-            }
-            default -> query(slot, command, at);
+        if (fault != null) {
+            unusable(slot, fault);
+            slot.last = command.lost;
+        } else if (command.kind == MetaCommand.Kind.READY) {
+            slot.answer = MetaReply.ready();
+        } else {
+            query(slot, command, at);
         }
         flush();
     }
 
+    private void unusable(Slot slot, String fault) {
+        log.trouble("a client's command can't be used", this + ", " + fault);
+        slot.answer = MetaReply.text(fault);
+    }
+
     private void query(Slot slot, MetaCommand command, long at) {
-        var pairs = command.pairs;
-        int track = clients.start.figures.tracks.indexOf(pairs.getOrDefault("c", ""));
-        int customer = clients.start.figures.customers.indexOf(pairs.getOrDefault("t", ""));
-        if (track < 0 || customer < 0 && pairs.containsKey("t") && !clients.start.figures.customers.isEmpty()) {
-            clients.log.trouble("a client's command can't be used", this + ", " + command.extras());
-            slot.answer = MetaReply.text("CLIENT_ERROR unknown " + (track < 0 ? "class" : "tenant"));
-        } else if (guest) {
+        Query query = new Query(this, command, clients.track(command), clients.customer(command), at);
+        if (guest) {
             slot.answer = clients.busy;
+        } else if (clients.open.putIfAbsent(command.id, query) != null) {
+            unusable(slot, "CLIENT_ERROR request id in use");
         } else if (!clients.room.take(Clients.QUERY_BYTES + command.value.length)) {
-            clients.log.trouble("no room for a query", this);
+            log.trouble("no room for a query", this);
+            clients.open.remove(command.id, query);
             slot.answer = clients.busy;
         } else {
             slot.queryRoom = Clients.QUERY_BYTES + command.value.length;
-            slot.query = new Query(this, command, new TrackId(track), new CustomerId(customer), at);
+            slot.query = query;
             clients.decider.arrived(slot.query);
         }
     }
@@ -147,19 +163,19 @@
     private void flush() {
         List<Slot> ready = new ArrayList<>(2);
         while (!writing && !closed && !slots.isEmpty() && slots.peek().answer != null) {
+            over(slots.peek());
             ready.add(slots.poll());
         }
         if (!ready.isEmpty()) {
             writing = true;
             writingSince = clients.clock.now();
-            Threads.Alarm slow = clients.threads.after(SLOW_NS, connection::close);
             boolean goes = (guest || clients.ending()) && slots.isEmpty();
-            clients.threads.run(() -> write(ready, slow, goes));
+            afterwards(() -> write(ready, goes));
         }
     }
 
     /** On a thread that may wait; a client that can't be written to has its reader end, too. */
-    private void write(List<Slot> ready, Threads.Alarm slow, boolean goes) {
+    private void write(List<Slot> ready, boolean goes) {
         try {
             for (Slot slot : ready) {
                 connection.write(slot.answer);
@@ -171,8 +187,7 @@
         } catch (IOException e) {
             connection.close();
         }
-        slow.cancel();
-        tell(() -> written(ready));
+        put(() -> written(ready));
     }
 
     private void written(List<Slot> ready) {
@@ -184,7 +199,8 @@
         answered = true;
         open.addAndGet(-ready.size());
         if (ready.get(ready.size() - 1).last) {
-            close();
+            connection.endOutput();
+            threads.after(HOLDING_NS, connection::close);
         }
         flush();
     }
@@ -195,6 +211,13 @@
         slot.queryRoom = slot.answerRoom = 0;
     }
 
+    /** From before its answer goes out the id may come again. */
+    private void over(Slot slot) {
+        if (slot.query != null) {
+            clients.open.remove(slot.query.command.id, slot.query);
+        }
+    }
+
     private void left() {
         for (Slot slot : slots) {
             if (slot.query != null && slot.answer == null) {
@@ -207,6 +230,7 @@
     private void close() {
         closed = true;
         slots.forEach(this::giveRoom);
+        slots.forEach(this::over);
         slots.clear();
         connection.close();
         ahead.release(MOST_WAITING);
@@ -214,7 +238,7 @@
 
     /** Whether it stands between two commands; one that was just opened brings its first, which is not sent again. */
     boolean idle() {
-        return open.get() == 0 && clients.clock.now() - idleSince > (answered ? REST_NS : HOLDING_NS);
+        return open.get() == 0 && clients.clock.now() - idleSince > (answered ? REST_NS : FRESH_NS);
     }
 
     /** Closes it between two commands, from any thread; one that the reader has begun keeps it open. */
@@ -240,8 +264,19 @@
 
     /** Closes it where the rest of a command has not come for long: that was never taken. */
     void closeIfStuck() {
-        if (clients.clock.now() - (guest ? HOLDING_NS : SLOW_NS) > begunAt) {
+        if (clients.clock.now() - (guest ? HOLDING_NS : IDLE_NS) > begunAt) {
+            connection.close();
+        }
+    }
+
+    /** To be called now and then: closes it if it takes no answers, sends half a command, or says nothing. */
+    void tidy(boolean crowded) {
+        long now = clients.clock.now();
+        closeIfStuck();
+        if (now - SLOW_NS > writingSince) {
             connection.close();
+        } else if ((crowded || !answered) && now - idleSince > IDLE_NS) {
+            closeIfIdle();
         }
     }
 }
--- a/src/main/java/spurroad/routing/Clients.java
+++ b/src/main/java/spurroad/routing/Clients.java
@@ -1,10 +1,16 @@
 package spurroad.routing;
 
 import java.util.Comparator;
+import java.util.List;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentMap;
+import spurroad.model.CustomerId;
 import spurroad.model.Deployment;
+import spurroad.model.Effect;
 import spurroad.model.Track;
+import spurroad.model.TrackId;
+import spurroad.protocol.MetaCommand;
 import spurroad.protocol.MetaReply;
 import spurroad.start.ProxyStart;
 import spurroad.transport.Clock;
@@ -19,6 +25,8 @@
     static final int QUERY_BYTES = 8192; // bytes; what a query without a value holds on its way, with room
     private static final int ROOM_SHARE = 8; // one part in so many of the memory is for queries under way
     private static final int HEAP_SHARE = 3; // one part in so many of the heap; answers and buffers take more
+    private static final int AT_ONCE = 4; // connections; closed at a shortage, so that it is not one again at once
+    private static final long TIDY_NS = 500_000_000L; // ns; between looks at who says nothing: fine beside 2 s
     private static final long MIB = 1 << 20, NS_PER_MS = 1_000_000L;
 
     final ProxyStart start;
@@ -30,19 +38,53 @@
     /** The answer to a query for which the proxy itself has no place: nothing was sent, and when to come again. */
     final byte[] busy;
     private final Set<ClientConnection> connections = ConcurrentHashMap.newKeySet();
+    /** Queries whose final answer has not gone out, by their ids: no two at a time may bear the same. */
+    final ConcurrentMap<String, Query> open = new ConcurrentHashMap<>();
+    private final int places;
     private volatile boolean ending;
 
-    public Clients(ProxyStart start, Threads threads, EventLog log, Clock clock, Decider decider) {
+    public Clients(ProxyStart start, Threads threads, EventLog log, Clock clock, Decider decider,
+                   int places) {
         this.start = start;
         this.threads = threads;
         this.log = log;
         this.clock = clock;
         this.decider = decider;
+        this.places = places;
         long memory = Math.min(start.memoryMb * MIB / ROOM_SHARE, Runtime.getRuntime().maxMemory() / HEAP_SHARE);
         room = new Room(Math.min(memory, (long) start.figures.mostOpen * QUERY_BYTES));
         Deployment figures = start.figures.deployment;
         long slo = figures.tracks().stream().mapToLong(Track::sloNs).min().orElse(0);
         busy = MetaReply.rejected(Math.min(figures.maxComeBackNs(), slo / 2) / NS_PER_MS);
+        threads.after(TIDY_NS, this::tidy);
+    }
+
+    /** Who says nothing is closed after a while, and idle ones too where many are connected. */
+    private void tidy() {
+        boolean crowded = 2 * connections.size() > places;
+        connections.forEach(c -> c.tidy(crowded));
+        threads.after(TIDY_NS, this::tidy);
+    }
+
+    TrackId track(MetaCommand c) {
+        return new TrackId(start.figures.tracks.indexOf(c.pairs.getOrDefault("c", "")));
+    }
+
+    CustomerId customer(MetaCommand c) {
+        return new CustomerId(start.figures.customers.indexOf(c.pairs.getOrDefault("t", "")));
+    }
+
+    /** Why a command that can be read is of no use here, as the answer to it; null where it is. */
+    String refusal(MetaCommand c) {
+        int track = track(c).value();
+        if (track < 0) {
+            return "CLIENT_ERROR unknown class";
+        }
+        if (customer(c).value() < 0 && c.pairs.containsKey("t") && !start.figures.customers.isEmpty()) {
+            return "CLIENT_ERROR unknown tenant";
+        }
+        boolean marked = start.figures.deployment.tracks().get(track).effect() == Effect.DEDUPLICATED;
+        return marked && !c.pairs.containsKey("k") ? "CLIENT_ERROR no idempotency key" : null;
     }
 
     @Override
@@ -50,7 +92,7 @@
         ClientConnection c = new ClientConnection(this, connection, guest);
         connections.add(c);
         try {
-            threads.start("client", c);
+            threads.connection(c);
         } catch (OutOfMemoryError e) {
             log.trouble("no thread for a client", e.getMessage());
             connections.remove(c);
@@ -58,13 +100,16 @@
         }
     }
 
-    /** Closes the client's connection that has been idle the longest or, if there is none, some to nodes. */
+    /** Closes the clients' connections that have been idle the longest or, if there are none, some to nodes. */
     @Override
     public void placesNeeded() {
         log.trouble("no descriptor left for clients", connections.size() + " connected");
-        connections.stream().filter(ClientConnection::idle).min(Comparator.comparingLong(c -> c.idleSince))
-            .ifPresentOrElse(ClientConnection::closeIfIdle, decider::placesNeeded);
-        connections.forEach(ClientConnection::closeIfStuck);
+        List<ClientConnection> idle = connections.stream().filter(ClientConnection::idle)
+            .sorted(Comparator.comparingLong(c -> c.idleSince)).limit(AT_ONCE).toList();
+        idle.forEach(ClientConnection::closeIfIdle);
+        if (idle.isEmpty()) {
+            decider.placesNeeded();
+        }
     }
 
     void ended(ClientConnection c) {
--- a/src/main/java/spurroad/routing/Decider.java
+++ b/src/main/java/spurroad/routing/Decider.java
@@ -35,6 +35,7 @@
     }
 
     private static final int MAILBOX = 1 << 16; // messages; a dozen for each query that there is room for
+    private static final long REST_NS = 10_000_000L; // ns; of a node's connection between two executions: see NodeActor
     private static final long NS_PER_MS = 1_000_000L, NS_PER_US = 1_000L;
     private static final int MODULE_FAILED = 70; // exit code; the usual one for a fault of the program itself
 
@@ -57,7 +58,7 @@
         this.log = log;
         balance = new Balance(start.figures.deployment, start.seed);
         around = new NodeActor.Surroundings(threads, log, clock, descriptors, start.figures.connectNs,
-            start.figures.deployment.idleNs(), this::placesNeeded,
+            start.figures.deployment.idleNs(), REST_NS, this::placesNeeded,
             (e, reply) -> mailbox.tell(() -> ended(e, reply)));
     }
 
--- a/src/main/java/spurroad/routing/ListWatch.java
+++ b/src/main/java/spurroad/routing/ListWatch.java
@@ -21,8 +21,6 @@
     private static final int OK = 200;
 
     private final Members.Names names;
-    private final Threads threads;
-    private final EventLog log;
     private final Decider decider;
     private InetSocketAddress discovery;
     private long revision;
@@ -33,8 +31,6 @@
         discovery = start.discovery;
         names = start.figures.names;
         revision = start.known.revision();
-        this.threads = threads;
-        this.log = log;
         this.decider = decider;
     }
 
--- a/src/main/java/spurroad/routing/NodeActor.java
+++ b/src/main/java/spurroad/routing/NodeActor.java
@@ -18,7 +18,7 @@
 final class NodeActor extends Actor {
     /** What all node actors share. */
     record Surroundings(Threads threads, EventLog log, Clock clock, Descriptors descriptors, long connectNs,
-                        long idleNs, Runnable closeIdleEverywhere, Ended ended) { }
+                        long idleNs, long restNs, Runnable closeIdleEverywhere, Ended ended) { }
 
     /** Hears how each errand ended. */
     interface Ended {
@@ -123,7 +123,7 @@
         if (c != null) {
             c.errand = e;
             e.connection = c;
-            around.threads.run(() -> c.write(e));
+            afterwards(() -> c.write(e));
         } else if (around.descriptors.takeForNode()) {
             connect(e);
         } else if (now() - e.begunAt < around.connectNs) {
@@ -138,20 +138,27 @@
     private void connect(Errand e) {
         e.connection = new NodeConnection(this, dialect, member.endpoint(), around.connectNs, generation, e);
         try {
-            around.threads.start("node", e.connection);
+            around.threads.connection(e.connection);
         } catch (OutOfMemoryError none) {
             around.log.trouble("no thread for a node", none.getMessage());
             e.connection.never();
         }
     }
 
+    /** The one used last, but not before what may follow its last answer has had time to arrive and close it. */
     private NodeConnection kept() {
         closeLongIdle();
-        NodeConnection c = idle.pollLast();
-        while (c != null && c.lost()) {
-            c = idle.pollLast();
+        long restedSince = now() - around.restNs;
+        for (var i = idle.descendingIterator(); i.hasNext(); ) {
+            NodeConnection c = i.next();
+            if (c.lost()) {
+                i.remove();
+            } else if (c.idleSince <= restedSince) {
+                i.remove();
+                return c;
+            }
         }
-        return c;
+        return null;
     }
 
     private void closeLongIdle() {
@@ -201,7 +208,17 @@
 
     // ---- told by its connections
 
+    /** From the connection's thread. */
     void replied(NodeConnection c, Errand e, Reply reply) {
+        tellHere(() -> took(c, e, reply), false);
+    }
+
+    /** From the connection's thread. */
+    void broken(NodeConnection c) {
+        tellHere(() -> broke(c), false);
+    }
+
+    private void took(NodeConnection c, Errand e, Reply reply) {
         if (c.closed) {
             return;
         }
@@ -223,7 +240,7 @@
         end(e, reply);
     }
 
-    void broken(NodeConnection c) {
+    private void broke(NodeConnection c) {
         idle.remove(c);
         Errand e = c.errand;
         if (!c.closed && e != null && !e.ended) {
--- a/src/main/java/spurroad/routing/NodeConnection.java
+++ b/src/main/java/spurroad/routing/NodeConnection.java
@@ -13,6 +13,7 @@
  */
 final class NodeConnection implements Runnable {
     static final String TO_NOTHING = "an answer to nothing";
+    private static final int STALL_MS = 300; // ms; inside an answer: one that was given whole arrives sooner
     private static final long NS_PER_MS = 1_000_000L;
     private final NodeActor node;
     private final Dialect dialect;
@@ -46,11 +47,14 @@
             write(first);
             while (in.await()) {
                 Errand e = errand;
-                if (e == null) {
+                if (e == null || !e.written) {
                     throw new ProtocolException(TO_NOTHING);
                 }
+                connection.mostSilence(STALL_MS);
                 Reply reply = dialect.reply(in, e.command());
-                node.tell(() -> node.replied(this, e, reply));
+                connection.mostSilence(0);
+                boolean clean = !in.more();
+                node.replied(this, e, clean ? reply : reply.last());
             }
         } catch (ProtocolException e) {
             node.unusable(e.getMessage());
@@ -58,7 +62,7 @@
             // what it means for the errand depends on what was written; the actor tells
         } finally {
             connection.end();
-            node.tell(() -> node.broken(this));
+            node.broken(this);
         }
     }
 
--- a/src/main/java/spurroad/transport/Connection.java
+++ b/src/main/java/spurroad/transport/Connection.java
@@ -45,6 +45,15 @@
         socket.getOutputStream().write(message);
     }
 
+    /** Says that nothing more is written; what the peer still sends can be read. */
+    public void endOutput() {
+        try {
+            socket.shutdownOutput();
+        } catch (IOException e) {
+            close();
+        }
+    }
+
     /** Whether something came in that nobody has read. */
     public boolean unread() {
         try {
--- a/src/main/java/spurroad/transport/Threads.java
+++ b/src/main/java/spurroad/transport/Threads.java
@@ -8,8 +8,8 @@
 import java.util.concurrent.atomic.AtomicLong;
 
 /**
- * Starts every thread of the program, all with small stacks. Those of a connection last as long as it does; short
- * work runs on threads that are kept a while and used again. One further thread tells when a time is reached.
+ * Starts every thread of the program, all with small stacks. Those of connections and of
+ * short work are kept a while and used again: many connections are short, and a new thread costs more than their work. One further thread tells when a time is reached.
  */
 public final class Threads {
     private static final long STACK_BYTES = 144 * 1024; // bytes; parsers and actors go a few frames deep
@@ -34,6 +34,11 @@
         thread(name, work).start();
     }
 
+    /** A thread for as long as a connection lasts; one that another has left, where there is one. */
+    public void connection(Runnable work) {
+        shortWork.execute(work);
+    }
+
     /** Work that ends soon, or that at worst holds up one peer. */
     public void run(Runnable work) {
         try {
--- a/src/test/java/spurroad/program/ServiceTest.java
+++ b/src/test/java/spurroad/program/ServiceTest.java
@@ -93,6 +93,7 @@
             {READ.replace("c=read", "c=x"), "CLIENT_ERROR unknown class", true},
             {READ.replace("acme", "x"), "CLIENT_ERROR unknown tenant", true},
             {READ.replace("d=9000", "q=1"), "CLIENT_ERROR no time to wait", true},
+            {READ.replace("mg k v", "ms k 0").replace("read", "put") + "\r\n", "CLIENT_ERROR no idempotency key", true},
             {"ms k x O1\r\n", "CLIENT_ERROR bad length", false},
             {"y".repeat(5000), "CLIENT_ERROR line too long", false}};
     }
@@ -276,6 +277,51 @@
         }
     }
 
+    @Test
+    public void theIdOfAnOpenQueryIsRefusedAndTheQueryUndisturbed() throws Exception {
+        CountDownLatch refused = new CountDownLatch(1);
+        Function<String, String> held = m -> {
+            await(refused);
+            return hit("v").apply(m);
+        };
+        try (Peer n = new Peer(held); Peer o = new Peer(m -> ok(""))) {
+            Service s = proxy(n, o);
+            try (Client first = new Client(s.port()); Client other = new Client(s.port())) {
+                first.say(READ + READ);
+                n.await("mg k");
+                assertEquals(other.say(READ).line(), "CLIENT_ERROR request id in use");
+                refused.countDown();
+                assertEquals(List.of(first.line(), first.line(), first.line()),
+                    List.of("VA 1 O1", "v", "CLIENT_ERROR request id in use"));
+                assertEquals(other.say(READ).line(), "VA 1 O1", "over, so it may come again");
+            }
+        }
+    }
+
+    @Test
+    public void whoSaysNothingOrHalfACommandIsClosedAndWhoAskedOnceIsNot() throws Exception {
+        try (Peer n = new Peer(hit("v")); Peer o = new Peer(m -> ok(""))) {
+            Service s = proxy(n, o);
+            try (Client asked = new Client(s.port()); Client silent = new Client(s.port());
+                 Client half = new Client(s.port()).say("mg k v O2 Pc=re")) {
+                assertEquals(asked.say(READ).line() + asked.line(), "VA 1 O1v");
+                assertNull(silent.line());
+                assertNull(half.line());
+                assertEquals(asked.say("mn\r\n").line(), "MN");
+            }
+        }
+    }
+
+    /** Bad clients: a close upon unread bytes took the error away from those who were still sending. */
+    @Test
+    public void anErrorReachesAClientThatIsStillSending() throws Exception {
+        try (Peer n = new Peer(hit("v")); Peer o = new Peer(m -> ok("")); Client c = new Client(proxy(n, o).port())) {
+            c.say("ms k 60000000 O1 Pc=put,t=acme,d=9000,k=5\r\n" + "x".repeat(200_000));
+            assertEquals(c.line(), "CLIENT_ERROR bad length");
+            assertNull(c.line());
+        }
+    }
+
     /** The same day: clients just accepted were closed as idle while their first query was on its way. */
     @Test
     public void aClientThatHasJustComeIsNotClosedBeforeItsFirstQuery() throws Exception {
--- a/src/test/java/spurroad/protocol/ParsersTest.java
+++ b/src/test/java/spurroad/protocol/ParsersTest.java
@@ -22,6 +22,7 @@
 public class ParsersTest {
     private static final String READ = "mg 7f3a v O9b1f Pc=read,t=acme,d=480\r\n";
     private static final String WRITE = "ms 7f3a 5 O9b1f Pc=put,t=acme,d=480,k=5c0f\r\nhello\r\n";
+    private static final String FORM = "CLIENT_ERROR bad command line format";
     private static final String LONG = "x".repeat(70_000);
 
     private static byte[] bytes(String text) {
@@ -106,6 +107,14 @@
             {"ms k\r\n", "CLIENT_ERROR bad length", true}, {"ms k x O1 Pd=5\r\n", "CLIENT_ERROR bad length", true},
             {"ms k 65537 O1 Pd=5\r\n", "CLIENT_ERROR bad length", true},
             {"ms k 1 O1 Pd=5\r\nabcd\r\n", "CLIENT_ERROR bad data chunk", true},
+            {"mg k v O" + "1".repeat(33) + " Pd=5\r\n", "CLIENT_ERROR no request id", false},
+            {"mg k v O1 Pd=3600001\r\n", "CLIENT_ERROR no time to wait", false},
+            {"mg k v O1 O2 Pd=5\r\n", FORM, false}, {"mg k v O1 Pd=5 Pd=5\r\n", FORM, false},
+            {"mg k v O1 Pd=5,d=6\r\n", FORM, false}, {"mg k v O1 Pd=5,c=a,c=b\r\n", FORM, false},
+            {"mg k v O1 Pd=5,c=\r\n", FORM, false}, {"mg k v O1 Pd=5,x\r\n", FORM, false},
+            {"mg k v O1 Pd=5,h=-1\r\n", FORM, false}, {"mg k v  O1 Pd=5\r\n", FORM, false},
+            {"mg k v O1 Pd=5 t\r\n", FORM, false}, {"mg k\u0007 v O1 Pd=5\r\n", FORM, false},
+            {"mg k\u00e9 v O1 Pd=5\r\n", FORM, false}, {"mg k 1 O1 Pd=5\r\n", FORM, false},
             {LONG, "CLIENT_ERROR line too long", true}};
     }
 
@@ -145,7 +154,7 @@
     @DataProvider
     Object[][] faultyReplies() {
         return new Object[][] {{""}, {"VA 2 O2\r\nab\r\n"}, {"VA 2\r\nab\r\n"}, {"VA x O1\r\n"}, {"VA 65537 O1\r\n"},
-            {"VA 2 O1\r\nabc\r\n"}, {"VA 2 O1\r\na"}, {"EN O2\r\n"}, {"HD O2 c1\r\n"}, {"CLIENT_ERROR no\r\n"},
+            {"VA 2 O1\r\nabc\r\n"}, {"VA 2 O1\r\na"}, {"EN O2\r\n"}, {"HD O2 c1\r\n"}, {"HD O1\r\n"}, {"CLIENT_ERROR no\r\n"},
             {LONG}, {"VA 2 O1"}};
     }
 
@@ -199,6 +208,8 @@
         return new Object[][] {{""}, {"SSH-2.0\r\n\r\n"}, {"HTTP/1.1 x\r\n\r\n"}, {ok + "Content-Length: 3\r\n\r\nab"},
             {ok + "Content-Length: 65537\r\n\r\n"}, {ok + "Content-Length: -1\r\n\r\n"}, {ok + ": x\r\n\r\n"},
             {ok + "Transfer-Encoding: chunked\r\n\r\nzz\r\n"}, {ok + "Transfer-Encoding: chunked\r\n\r\n2\r\nabc\r\n"},
+            {ok + "Content-Length: -1\r\nContent-Length: 1\r\n\r\na"},
+            {ok + "Content-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\n\r\n"},
             {ok + "A: b\r\n".repeat(200)}, {ok + "A: " + LONG}, {ok + "\r\n" + LONG}};
     }
 
--- a/src/test/java/spurroad/routing/NodeActorTest.java
+++ b/src/test/java/spurroad/routing/NodeActorTest.java
@@ -9,6 +9,7 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
+import java.util.List;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
@@ -39,7 +40,11 @@
     private final BlockingQueue<Reply> ended = new LinkedBlockingQueue<>();
 
     private NodeActor node(int port, boolean origin, Descriptors descriptors) {
-        return new NodeActor(new NodeActor.Surroundings(threads, log, clock, descriptors, SHORT_NS, LONG_NS,
+        return node(port, origin, descriptors, 0);
+    }
+
+    private NodeActor node(int port, boolean origin, Descriptors descriptors, long restNs) {
+        return new NodeActor(new NodeActor.Surroundings(threads, log, clock, descriptors, SHORT_NS, LONG_NS, restNs,
             () -> { }, (e, reply) -> ended.add(reply)), member(port, 0), origin);
     }
 
@@ -144,6 +149,36 @@
         }
     }
 
+    /** Bad nodes, first score: a second answer of the origin, which names no id, was passed on for the next query. */
+    @Test
+    public void anAnswerWithMoreBehindItCountsAndItsConnectionServesNoOther() throws Exception {
+        String once = "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na";
+        for (String more : List.of(once, "noise")) {
+            try (Rig.Peer peer = new Rig.Peer(message -> once + more)) {
+                NodeActor node = node(peer.port, true, new Descriptors(100));
+                for (int i = 1; i <= 3; i++) {
+                    begin(node, LONG_NS);
+                    assertEquals(outcome(), Outcome.COMPLETED);
+                    assertEquals(peer.connections.get(), i);
+                }
+            }
+        }
+    }
+
+    @Test
+    public void aConnectionRestsBetweenTwoSoThatWhatComesLateIsNobodys() throws Exception {
+        try (Rig.Peer peer = new Rig.Peer(message -> "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na")) {
+            NodeActor node = node(peer.port, true, new Descriptors(100), LONG_NS);
+            begin(node, LONG_NS);
+            assertEquals(outcome(), Outcome.COMPLETED);
+            peer.say("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nb");
+            begin(node, LONG_NS);
+            assertEquals(new String(ended.poll(20, TimeUnit.SECONDS).answer()), "VA 1 O1\r\na\r\n");
+            assertEquals(peer.await("closed"), "closed");
+            assertEquals(peer.connections.get(), 2);
+        }
+    }
+
     @Test
     public void aConnectionIsUsedAgainUntilTheNodeIsAnother() throws Exception {
         Function<String, String> answer = message -> "EN O1\r\n";
--- a/src/test/java/spurroad/transport/ActorTest.java
+++ b/src/test/java/spurroad/transport/ActorTest.java
@@ -30,6 +30,30 @@
         assertEquals(seen, IntStream.range(0, 500).boxed().toList());
     }
 
+    @Test
+    public void whatMayWaitHoldsUpNoMessageAndRunsHereWhereItMay() throws InterruptedException {
+        Thread[] at = new Thread[1];
+        CountDownLatch waiting = new CountDownLatch(1), done = new CountDownLatch(2);
+        Actor actor = new Actor(new Threads(log), log, 1000) {
+            {
+                tellHere(() -> afterwards(() -> at[0] = Thread.currentThread()), true);
+                assertEquals(at[0], Thread.currentThread());
+                tell(() -> afterwards(() -> {
+                    try {
+                        waiting.await();
+                        put(done::countDown);
+                    } catch (InterruptedException e) {
+                        throw new IllegalStateException(e);
+                    }
+                }));
+                tell(waiting::countDown);
+                tell(done::countDown);
+            }
+        };
+        done.await();
+        actor.tell(done::countDown); // a mailbox that was let go of takes more
+    }
+
     @Test
     public void roomAndPlacesRunOutAndComeBack() throws InterruptedException {
         Room room = new Room(10_000);
