--- a/src/main/java/spurroad/program/Main.java
+++ b/src/main/java/spurroad/program/Main.java
@@ -8,6 +8,9 @@
 import spurroad.start.ProxyStart;
 import spurroad.wirehost.WireException;
 import spurroad.wirehost.WireHost;
+import spurroad.transport.Clock;
+import spurroad.transport.EventLog;
+import spurroad.transport.Threads;
 import sun.misc.Signal;
 
 /** The command line. */
@@ -38,7 +41,11 @@
         try {
             ProxyStart start = ProxyStart.ofEnvironment(System.getenv());
             try {
-                Service service = new Service(start);
+                EventLog log = new EventLog();
+                Threads threads = new Threads(log);
+                Clock clock = new Clock();
+                new Rehearsal(start).play(threads, log, clock);
+                Service service = new Service(start, threads, log, clock);
                 Signal.handle(new Signal("HUP"), hup -> service.reload(() -> ProxyStart.ofEnvironment(System.getenv())));
                 Runtime.getRuntime().addShutdownHook(new Thread(() -> shutDown(service)));
             } catch (IOException e) {
--- a/src/main/java/spurroad/program/Service.java
+++ b/src/main/java/spurroad/program/Service.java
@@ -1,6 +1,7 @@
 package spurroad.program;
 
 import java.io.IOException;
+import java.net.Socket;
 import java.util.List;
 import java.util.function.Supplier;
 import spurroad.routing.Clients;
@@ -21,19 +22,20 @@
     private static final long LOOK_MS = 5; // ms; how often it is looked whether all clients are gone
     private static final long LONGEST_END_NS = 10_000_000_000L; // ns; longer than clients wait
 
-    private final EventLog log = new EventLog();
+    private static final long REST_NS = 10_000_000L; // ns; of a node's connection: what follows an answer comes in less
+
+    private final EventLog log;
     private final Listener listener;
     private final Clients clients;
     private final ListWatch list;
     private ProxyStart start;
 
     /** Starts it; it takes queries once this returns. */
-    public Service(ProxyStart start) throws IOException {
+    public Service(ProxyStart start, Threads threads, EventLog log, Clock clock) throws IOException {
         this.start = start;
-        Threads threads = new Threads(log);
-        Clock clock = new Clock();
+        this.log = log;
         Descriptors descriptors = new Descriptors(start.places);
-        Decider decider = new Decider(start, threads, log, clock, descriptors);
+        Decider decider = new Decider(start, threads, log, clock, descriptors, Socket::new, REST_NS);
         clients = new Clients(start, threads, log, clock, decider, descriptors.leftForClients());
         listener = new Listener(start.listen, descriptors, clients, log);
         list = new ListWatch(start, threads, log, decider);
--- a/src/main/java/spurroad/routing/Clients.java
+++ b/src/main/java/spurroad/routing/Clients.java
@@ -63,7 +63,9 @@
     private void tidy() {
         boolean crowded = 2 * connections.size() > places;
         connections.forEach(c -> c.tidy(crowded));
-        threads.after(TIDY_NS, this::tidy);
+        if (!ending || !connections.isEmpty()) {
+            threads.after(TIDY_NS, this::tidy);
+        }
     }
 
     TrackId track(MetaCommand c) {
--- a/src/main/java/spurroad/routing/Decider.java
+++ b/src/main/java/spurroad/routing/Decider.java
@@ -1,9 +1,11 @@
 package spurroad.routing;
 
+import java.net.Socket;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Supplier;
 import spurroad.Balance;
 import spurroad.model.CacheKey;
 import spurroad.model.Decisions;
@@ -35,7 +37,6 @@
     }
 
     private static final int MAILBOX = 1 << 16; // messages; a dozen for each query that there is room for
-    private static final long REST_NS = 10_000_000L; // ns; of a node's connection between two executions: see NodeActor
     private static final long NS_PER_MS = 1_000_000L, NS_PER_US = 1_000L;
     private static final int MODULE_FAILED = 70; // exit code; the usual one for a fault of the program itself
 
@@ -50,15 +51,18 @@
     private final Map<QueryId, Query> queries = new HashMap<>();
     private final Tally tally = new Tally();
     private Follow follow;
+    private boolean ended;
     private long queryCount, wakeNs = Long.MAX_VALUE;
 
-    public Decider(ProxyStart start, Threads threads, EventLog log, Clock clock, Descriptors descriptors) {
+    public Decider(ProxyStart start, Threads threads, EventLog log, Clock clock, Descriptors descriptors,
+                   Supplier<Socket> sockets, long restNs) {
         this.start = start;
         this.clock = clock;
         this.log = log;
         balance = new Balance(start.figures.deployment, start.seed);
         around = new NodeActor.Surroundings(threads, log, clock, descriptors, start.figures.connectNs,
-            start.figures.deployment.idleNs(), REST_NS, this::placesNeeded,
+            start.figures.deployment.idleNs(), restNs, sockets,
+            this::placesNeeded,
             (e, reply) -> mailbox.tell(() -> ended(e, reply)));
     }
 
@@ -70,7 +74,7 @@
     @Override
     public void run() {
         try {
-            while (true) {
+            while (!ended) {
                 Runnable message = mailbox.await(wakeNs - clock.now());
                 if (message == null) {
                     message = () -> {
@@ -86,6 +90,11 @@
         }
     }
 
+    /** Ends its thread, once all that it has been told before is done; nothing may be told to it any more. */
+    public void end() {
+        mailbox.tell(() -> ended = true);
+    }
+
     // ---- told by clients
 
     void arrived(Query q) {
--- a/src/main/java/spurroad/routing/ListWatch.java
+++ b/src/main/java/spurroad/routing/ListWatch.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.net.Socket;
 import spurroad.protocol.ByteSource;
 import spurroad.protocol.Http;
 import spurroad.protocol.Json;
@@ -100,7 +101,7 @@
 
     /** One call to discovery, on a thread of its own, which owns its socket; the actor may close that earlier. */
     private final class Watch implements Runnable {
-        private final Connection connection = new Connection(() -> { });
+        private final Connection connection = new Connection(new Socket(), () -> { });
         private final InetSocketAddress at;
         private final long since;
         // the actor's
--- a/src/main/java/spurroad/routing/NodeActor.java
+++ b/src/main/java/spurroad/routing/NodeActor.java
@@ -1,7 +1,9 @@
 package spurroad.routing;
 
+import java.net.Socket;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.function.Supplier;
 import spurroad.model.CacheNote;
 import spurroad.model.LoadReport;
 import spurroad.model.NodeId;
@@ -10,6 +12,7 @@
 import spurroad.protocol.Reply;
 import spurroad.transport.Actor;
 import spurroad.transport.Clock;
+import spurroad.transport.Connection;
 import spurroad.transport.Descriptors;
 import spurroad.transport.EventLog;
 import spurroad.transport.Threads;
@@ -18,7 +21,7 @@
 final class NodeActor extends Actor {
     /** What all node actors share. */
     record Surroundings(Threads threads, EventLog log, Clock clock, Descriptors descriptors, long connectNs,
-                        long idleNs, long restNs, Runnable closeIdleEverywhere, Ended ended) { }
+                        long idleNs, long restNs, Supplier<Socket> sockets, Runnable closeIdleEverywhere, Ended ended) { }
 
     /** Hears how each errand ended. */
     interface Ended {
@@ -251,8 +254,8 @@
 
     // ---- from threads of its connections
 
-    void placeBack() {
-        around.descriptors.giveFromNode();
+    Connection connection() {
+        return new Connection(around.sockets.get(), around.descriptors::giveFromNode);
     }
 
     void unusable(String why) {
--- a/src/main/java/spurroad/routing/NodeConnection.java
+++ b/src/main/java/spurroad/routing/NodeConnection.java
@@ -35,7 +35,7 @@
         this.generation = generation;
         connectMs = (int) Math.max(1, connectNs / NS_PER_MS);
         errand = first;
-        connection = new Connection(node::placeBack);
+        connection = node.connection();
     }
 
     @Override
--- a/src/main/java/spurroad/transport/Connection.java
+++ b/src/main/java/spurroad/transport/Connection.java
@@ -14,12 +14,7 @@
     private final Socket socket;
     private final Runnable placeBack;
 
-    /** A connection that is still to be made. */
-    public Connection(Runnable placeBack) {
-        this(new Socket(), placeBack);
-    }
-
-    /** One that was accepted. */
+    /** One that was accepted, or that is still to be made. */
     public Connection(Socket socket, Runnable placeBack) {
         this.socket = socket;
         this.placeBack = placeBack;
--- a/src/test/java/spurroad/program/ServiceTest.java
+++ b/src/test/java/spurroad/program/ServiceTest.java
@@ -17,6 +17,9 @@
 import spurroad.Rig.Client;
 import spurroad.Rig.Peer;
 import spurroad.start.ProxyStart;
+import spurroad.transport.Clock;
+import spurroad.transport.EventLog;
+import spurroad.transport.Threads;
 
 /** The whole proxy between scripted clients, cache nodes, an origin and discovery. */
 public class ServiceTest {
@@ -36,8 +39,13 @@
         return "HTTP/1.1 200 OK\r\nContent-Length: " + body.length() + "\r\n\r\n" + body;
     }
 
+    private static Service service(ProxyStart start) throws IOException {
+        EventLog log = new EventLog();
+        return new Service(start, new Threads(log), log, new Clock());
+    }
+
     private static Service proxy(Peer discovery, int sockets, String... targets) throws IOException {
-        return new Service(new ProxyStart(Rig.start(discovery.port, sockets, Rig.list(1, true, targets))));
+        return service(new ProxyStart(Rig.start(discovery.port, sockets, Rig.list(1, true, targets))));
     }
 
     private static Service proxy(Peer node, Peer origin) throws IOException {
@@ -270,13 +278,26 @@
                 assertThrows(IOException.class, () -> new Client(s.port()));
                 String again = Rig.start(o.port, 256, Rig.list(1, true))
                     .replace("127.0.0.1:0\"", "127.0.0.1:" + s.port() + "\"");
-                try (Client next = new Client(new Service(new ProxyStart(again)).port())) {
+                try (Client next = new Client(service(new ProxyStart(again)).port())) {
                     assertEquals(next.say("mn\r\n").line(), "MN", "started again under its address at once");
                 }
             }
         }
     }
 
+    @Test
+    public void aRehearsalIsPlayedToItsEndAndLeavesNoThreadOfTheModule() throws Exception {
+        EventLog log = new EventLog();
+        Rehearsal rehearsal = new Rehearsal(new ProxyStart(Rig.start(1, 256, Rig.list(1, true))));
+        rehearsal.play(new Threads(log), log, new Clock());
+        assertEquals(rehearsal.left(), 0);
+        for (Thread t : Thread.getAllStackTraces().keySet()) {
+            if (t.getName().equals("rehearsal")) {
+                t.join();
+            }
+        }
+    }
+
     @Test
     public void theIdOfAnOpenQueryIsRefusedAndTheQueryUndisturbed() throws Exception {
         CountDownLatch refused = new CountDownLatch(1);
--- a/src/test/java/spurroad/routing/NodeActorTest.java
+++ b/src/test/java/spurroad/routing/NodeActorTest.java
@@ -9,6 +9,7 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
+import java.net.Socket;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
@@ -44,7 +45,7 @@
     }
 
     private NodeActor node(int port, boolean origin, Descriptors descriptors, long restNs) {
-        return new NodeActor(new NodeActor.Surroundings(threads, log, clock, descriptors, SHORT_NS, LONG_NS, restNs,
+        return new NodeActor(new NodeActor.Surroundings(threads, log, clock, descriptors, SHORT_NS, LONG_NS, restNs, Socket::new,
             () -> { }, (e, reply) -> ended.add(reply)), member(port, 0), origin);
     }
 
