--- a/src/main/java/spurroad/Balance.java
+++ b/src/main/java/spurroad/Balance.java
@@ -256,7 +256,8 @@
             }
             if (!q.write && q.key.value() != 0 && shared.follows(q)) {
                 hold(q, Hold.FETCH, q.sloAt);
-            } else if (origin == null || expected(origin, waiting.headSet(q).size()) > q.sloAt - now) {
+            } else if (origin == null || !origin.out.isEmpty()
+                && expected(origin, waiting.headSet(q).size()) > q.sloAt - now) {
                 giveUp(q);
             } else {
                 waiting.add(q);
@@ -342,7 +343,8 @@
             boolean hit = known.get(q.key) == n || q.write;
             double fetch = hit || origin != null ? 0 : FETCH_TAIL * fetchExcess();
             double queue = expected(n, 0);
-            return queue > room || queue + fetch > LATE_SHARE * (q.sloAt - now);
+            // a proxy's slow start passed for slow nodes, and nothing was sent that could have shown otherwise
+            return !n.out.isEmpty() && (queue > room || queue + fetch > LATE_SHARE * (q.sloAt - now));
         }
 
         private void heard(Qry q, Node n) {
