--- a/src/main/java/spurroad/Balance.java
+++ b/src/main/java/spurroad/Balance.java
@@ -342,9 +342,9 @@
             // slow origin: reads that would miss held places that hits could have had (origin incident)
             boolean hit = known.get(q.key) == n || q.write;
             double fetch = hit || origin != null ? 0 : FETCH_TAIL * fetchExcess();
-            double queue = expected(n, 0);
             // a proxy's slow start passed for slow nodes, and nothing was sent that could have shown otherwise
-            return !n.out.isEmpty() && (queue > room || queue + fetch > LATE_SHARE * (q.sloAt - now));
+            double queue = n.out.isEmpty() ? 0 : expected(n, 0);
+            return queue > room || queue + fetch > LATE_SHARE * (q.sloAt - now);
         }
 
         private void heard(Qry q, Node n) {
--- a/src/test/java/spurroad/BalanceTest.java
+++ b/src/test/java/spurroad/BalanceTest.java
@@ -432,6 +432,19 @@
         assertEquals(rig.ask(2, READ, 99).starts.size(), 1);
     }
 
+    /** First seconds of a slow start: all was rejected on what slow first queries had shown, and nothing tried again. */
+    @Test
+    public void anIdleNodeOrOriginTakesAQueryWhateverItsPastPace() {
+        for (boolean aside : new boolean[] {false, true}) {
+            Rig rig = Rig.of(6, aside);
+            for (int i = 0; i < 20; i++) {
+                assertEquals(rig.ask(i, aside ? MARKED : READ, KEY).starts.size(), 1);
+                rig.now += (aside ? 2500 : 600) * MS;
+                rig.end(i, 0, Outcome.COMPLETED);
+            }
+        }
+    }
+
     @Test
     public void missesOfOneKeyShareAFetchAndThenLookAgain() {
         Rig rig = Rig.of(5, true);
