The origin is given more at once for as long as its answers come in time

A trace of the origin's executions showed two out at a time and 13 a second at the one (mean 113 to 160 ms, mostly writes, which go first), eight out and 90 a second at the other (70 to 90 ms). Balance.pace divides a time by the figure met, so with few out an origin that serves many at once looks slow, the limit (0.4 of the SLO time over that pace) stays at its floor of two, misses are rejected (Fetch.pass) and come back as misses. Ruled out by the trace: the origin's own load (the same for both), connections, the proxy's own time (0.2 ms). Now the limit is no lower than what was lately borne in time (additive increase, multiplicative decrease).

--- a/src/main/java/spurroad/Balance.java
+++ b/src/main/java/spurroad/Balance.java
@@ -19,6 +19,7 @@
     static final int KNOWN_KEYS = 4096; // keys; whose last node is remembered: some seconds' worth
     static final double FETCH_TAIL = 3; // times the mean time of a miss: what an unknown key may well take
     static final double MOVE_SHARE = 0.5; // of a fetch: a moved query misses about as often as not
+    static final double BACK_OFF = 0.9; // of the executions that the origin has borne: a tenth late leaves nine out
     static final double ORIGIN_SHARE = 0.4; // of the shortest SLO time: queueing at the origin, not here
     static final double PRIOR = 2; // queries; a node counts as having completed so many at the usual pace
     static final long MEMORY_NS = 4_000_000_000L; // ns; pace and health: some tens of queries a node
@@ -68,7 +69,7 @@
     private final Fading arrivals = new Fading(LONG_MEMORY_NS), unconnected = new Fading(LONG_MEMORY_NS);
     private final Set<Node> watched = new LinkedHashSet<>(); // with executions out, or owing a probe
     private final Idle idle = new Idle();
-    private double further = FURTHER_MOST;
+    private double further = FURTHER_MOST, borne = LEAST_LIMIT;
     private long order, now, followPause = FOLLOW_NS;
     private long followAt = Long.MAX_VALUE, sweepAt = Long.MAX_VALUE;
     private boolean following;
@@ -101,8 +102,7 @@
             }
         }
         List<Node> ready = nodes.values().stream().filter(n -> n.entry.phase() == Phase.READY).toList();
-        origin = ready.stream().filter(n -> n.entry.kind().equals(given.originKind()))
-            .findFirst().orElse(null);
+        origin = ready.stream().filter(n -> n.entry.kind().equals(given.originKind())).findFirst().orElse(null);
         caches = ready.stream().filter(n -> n != origin).toList();
         ring = null; // built when next walked: a proxy hears of more changes than it sees queries
         followPause = following ? FOLLOW_NS : followPause;
@@ -266,7 +266,7 @@
         }
 
         private boolean originHasRoom() {
-            return origin != null && origin.out.size() < limit(origin, ORIGIN_SHARE * shortestSloNs);
+            return origin != null && origin.out.size() < Math.max(borne, limit(origin, ORIGIN_SHARE * shortestSloNs));
         }
 
         private void pump() {
@@ -368,8 +368,7 @@
             } else if (c.isEmpty() || now + given.tickNs() >= q.endAt) {
                 giveUp(q);
             } else {
-                boolean answered = q.asked.size() < q.candidates.size() - 1;
-                to(q, answered ? lowest(q, c) : c.get(random.nextInt(c.size())));
+                to(q, q.asked.size() < q.candidates.size() - 1 ? lowest(q, c) : c.get(random.nextInt(c.size())));
             }
         }
 
@@ -452,8 +451,7 @@
 
     private boolean mayReject(Qry q) {
         return q.track.effect() == Effect.IDEMPOTENT || q.out == 0 && (q.mayHaveRun == null
-            || q.track.effect() == Effect.DEDUPLICATED && q.track.dedupScope() == DedupScope.ALL
-            && remembered(q));
+            || q.track.effect() == Effect.DEDUPLICATED && q.track.dedupScope() == DedupScope.ALL && remembered(q));
     }
 
     private boolean remembered(Qry q) {
@@ -571,6 +569,10 @@
             took = Math.max(took, e.qry.track.sloNs());
             paced = true;
         }
+        // times at few executions are all the origin's own: the limit from them stayed low for ever (reload day)
+        double more = Math.max(borne, Math.min(borne + 1 / borne, e.depth + 2));
+        double next = took <= PRESSED_SHARE * e.qry.track.sloNs() ? more : Math.max(LEAST_LIMIT, BACK_OFF * borne);
+        borne = n == origin && paced ? next : borne;
         unconnected.add(now, outcome == Outcome.NO_CONNECTION ? 1 : 0, 0);
         n.pace[e.scope].add(now, paced ? took : 0, paced ? e.depth + 1 : 0);
         if (n == origin || outcome == Outcome.NEVER_SENT || e.stopped && outcome == Outcome.CANCELLED) {
@@ -579,8 +581,7 @@
         allPace[e.scope].add(now, paced ? took : 0, paced ? e.depth + 1 : 0);
         allTimes.add(now, outcome == Outcome.COMPLETED ? took : 0, outcome == Outcome.COMPLETED ? 1 : 0);
         boolean failed = paced && took > e.qry.track.sloNs() || outcome == Outcome.ERROR && !fetched
-            || outcome == Outcome.DROPPED || outcome == Outcome.NO_CONNECTION
-            || outcome == Outcome.TIMED_OUT && !heard;
+            || outcome == Outcome.DROPPED || outcome == Outcome.NO_CONNECTION || outcome == Outcome.TIMED_OUT && !heard;
         allBad.add(now, failed ? 1 : 0, 1);
         if (failed) {
             n.bad.add(now, 1, 1);
--- a/src/main/java/spurroad/program/Main.java
+++ b/src/main/java/spurroad/program/Main.java
@@ -15,7 +15,7 @@
 
 /** The command line. */
 public final class Main {
-    private static final String USAGE = "usage: spurroad serve | wirehost";
+    private static final String USAGE = "usage: spurroad serve | rehearse | wirehost";
     private static final String LINE_PROPERTY = "java.util.logging.SimpleFormatter.format";
     private static final int FAILED = 1, MISUSED = 2; // exit codes
 
@@ -24,6 +24,7 @@
     public static void main(String[] args) throws IOException, InterruptedException {
         switch (args.length == 1 ? args[0] : "") {
             case "serve" -> serve();
+            case "rehearse" -> rehearse();
             case "wirehost" -> wirehost();
             default -> end(USAGE, MISUSED);
         }
@@ -57,6 +58,16 @@
         new CountDownLatch(1).await(); // its threads serve until the process is told to end
     }
 
+    /** What serving begins with, and no more: the build has the classes that it loads put into an archive. */
+    private static void rehearse() throws InterruptedException {
+        EventLog log = new EventLog();
+        try {
+            new Rehearsal(ProxyStart.ofEnvironment(System.getenv())).play(new Threads(log), log, new Clock());
+        } catch (FaultyKeyException e) {
+            end("spurroad: " + e.getMessage(), MISUSED);
+        }
+    }
+
     private static void shutDown(Service service) {
         try {
             service.end();
--- a/src/main/java/spurroad/program/Rehearsal.java
+++ b/src/main/java/spurroad/program/Rehearsal.java
@@ -14,6 +14,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Function;
 import spurroad.model.CellId;
 import spurroad.model.Effect;
@@ -39,13 +40,14 @@
  * first seconds' queries were late, were rejected and came back until nothing else was done.
  */
 final class Rehearsal {
-    private static final int QUERIES = 2000; // the quick compiler takes up what has run some hundred times
+    private static final int QUERIES = 800; // the quick compiler takes up what has run some hundred times
     private static final int CLIENTS = 4; // at once: queries meet each other, as later
     private static final long LONGEST_MS = 4_000; // ms; a process so slow is better cold than late
     private static final int NODES = 4, PLACES = 200; // cache nodes; connections, which all fit
     private static final String VALUE = "8c1f30d27a5be964";
 
     private final ProxyStart start;
+    private final AtomicLong asked = new AtomicLong();
     private final CountDownLatch answers = new CountDownLatch(QUERIES);
 
     Rehearsal(ProxyStart start) {
@@ -65,7 +67,7 @@
             Peer peer = new Peer(this::client);
             peers.add(peer);
             clients.accepted(new Connection(peer, () -> { }), false);
-            peer.hear(command(i));
+            peer.hear(command(asked.getAndIncrement()));
         }
         answers.await(LONGEST_MS, TimeUnit.MILLISECONDS);
         peers.forEach(Peer::close);
@@ -108,8 +110,8 @@
     /** A client asks again as soon as it has its answer. */
     private String client(String answer) {
         answers.countDown();
-        long left = answers.getCount();
-        return left > 0 ? command(left + CLIENTS) : null;
+        long next = asked.getAndIncrement();
+        return next < QUERIES ? command(next) : null;
     }
 
     private static String node(String message) {
--- a/src/test/java/spurroad/BalanceTest.java
+++ b/src/test/java/spurroad/BalanceTest.java
@@ -445,6 +445,26 @@
         }
     }
 
+    /** Reload day: one proxy had two fetches out and rejected misses, while another had eight out and served all. */
+    @Test
+    public void theOriginIsGivenMoreForAsLongAsItsAnswersComeInTime() {
+        Rig rig = Rig.of(5, true);
+        List<Long> out = new ArrayList<>(), since = new ArrayList<>();
+        for (int step = 0; step < 4000; step++) {
+            rig.ask(step, MARKED, step).starts.forEach(s -> out.add(s.query().value()));
+            while (since.size() < out.size()) {
+                since.add(rig.now);
+            }
+            rig.now += 10 * MS;
+            if (!out.isEmpty() && rig.now - since.get(0) >= (step < 2000 ? 600 : 900) * MS) {
+                since.remove(0);
+                rig.end(out.remove(0), 0, Outcome.COMPLETED).starts.forEach(s -> out.add(s.query().value()));
+            }
+            assertTrue(step != 1999 || out.size() > 6, "more at once: " + out.size());
+        }
+        assertTrue(out.size() <= 4, "late answers take that back: " + out.size());
+    }
+
     @Test
     public void missesOfOneKeyShareAFetchAndThenLookAgain() {
         Rig rig = Rig.of(5, true);
