--- a/src/main/java/spurroad/routing/Clients.java
+++ b/src/main/java/spurroad/routing/Clients.java
@@ -26,7 +26,8 @@
     private static final int ROOM_SHARE = 8; // one part in so many of the memory is for queries under way
     private static final int HEAP_SHARE = 3; // one part in so many of the heap; answers and buffers take more
     private static final int AT_ONCE = 4; // connections; closed at a shortage, so that it is not one again at once
-    private static final long TIDY_NS = 500_000_000L; // ns; between looks at who says nothing: fine beside 2 s
+    private static final int CROWD = 4; // one part in so many of the places: as many open queries are rare
+    private static final long TIDY_NS = 250_000_000L; // ns; between looks at who says nothing: fine beside 2 s
     private static final long MIB = 1 << 20, NS_PER_MS = 1_000_000L;
 
     final ProxyStart start;
@@ -59,9 +60,12 @@
         threads.after(TIDY_NS, this::tidy);
     }
 
-    /** Who says nothing is closed after a while, and idle ones too where many are connected. */
+    /**
+     * Who says nothing is closed after a while, and idle ones too where many are connected: some clients ask once and
+     * keep the connection for good, and those who share their limit with them then had none left (first incident).
+     */
     private void tidy() {
-        boolean crowded = 2 * connections.size() > places;
+        boolean crowded = CROWD * connections.size() > places;
         connections.forEach(c -> c.tidy(crowded));
         if (!ending || !connections.isEmpty()) {
             threads.after(TIDY_NS, this::tidy);
