--- a/src/main/java/spurroad/Balance.java
+++ b/src/main/java/spurroad/Balance.java
@@ -70,7 +70,7 @@
     private final Set<Node> watched = new LinkedHashSet<>(); // with executions out, or owing a probe
     private final Idle idle = new Idle();
     private double further = FURTHER_MOST, borne = LEAST_LIMIT;
-    private long order, now, followPause = FOLLOW_NS;
+    private long order, now, own, followPause = FOLLOW_NS;
     private long followAt = Long.MAX_VALUE, sweepAt = Long.MAX_VALUE;
     private boolean following;
     private Decisions decisions;
@@ -140,10 +140,11 @@
         finish();
     }
 
-    /** An execution ended. */
+    /** An execution ended; for so much of its time this proxy itself was held up. */
     public void ended(long at, QueryId id, int execution, Outcome outcome, CacheNote note, LoadReport load,
-                      boolean last, Decisions into) {
+                      boolean last, long ownNs, Decisions into) {
         begin(at, into);
+        own = ownNs;
         Qry q = queries.get(id);
         if (q != null && execution < q.execs.size() && q.execs.get(execution).out) {
             q.served |= outcome == Outcome.COMPLETED;
@@ -554,7 +555,7 @@
 
     private void judge(Exec e, Outcome outcome, CacheNote note) {
         Node n = e.node;
-        long took = now - e.sentAt;
+        long took = Math.max(0, now - e.sentAt - own);
         boolean answered = outcome.answered();
         n.lastAnswerAt = answered ? now : n.lastAnswerAt;
         boolean fetched = given.originKind() == null && (note == CacheNote.MISS || e.qry.write);
@@ -570,9 +571,8 @@
             paced = true;
         }
         // times at few executions are all the origin's own: the limit from them stayed low for ever (reload day)
-        double more = Math.max(borne, Math.min(borne + 1 / borne, e.depth + 2));
-        double next = took <= PRESSED_SHARE * e.qry.track.sloNs() ? more : Math.max(LEAST_LIMIT, BACK_OFF * borne);
-        borne = n == origin && paced ? next : borne;
+        borne = n != origin || !paced ? borne : took > PRESSED_SHARE * e.qry.track.sloNs()
+            ? Math.max(LEAST_LIMIT, BACK_OFF * borne) : Math.max(borne, Math.min(borne + 1 / borne, e.depth + 2));
         unconnected.add(now, outcome == Outcome.NO_CONNECTION ? 1 : 0, 0);
         n.pace[e.scope].add(now, paced ? took : 0, paced ? e.depth + 1 : 0);
         if (n == origin || outcome == Outcome.NEVER_SENT || e.stopped && outcome == Outcome.CANCELLED) {
--- a/src/main/java/spurroad/routing/Decider.java
+++ b/src/main/java/spurroad/routing/Decider.java
@@ -24,6 +24,7 @@
 import spurroad.transport.Descriptors;
 import spurroad.transport.EventLog;
 import spurroad.transport.Mailbox;
+import spurroad.transport.Stalls;
 import spurroad.transport.Threads;
 
 /**
@@ -44,12 +45,14 @@
     private final Decisions decisions = new Decisions();
     private final Mailbox mailbox = new Mailbox(MAILBOX);
     private final ProxyStart start;
+    private final Threads threads;
     private final Clock clock;
     private final EventLog log;
     private final NodeActor.Surroundings around;
     private final Map<NodeId, NodeActor> nodes = new HashMap<>();
     private final Map<QueryId, Query> queries = new HashMap<>();
     private final Tally tally = new Tally();
+    private final Stalls stalls = new Stalls();
     private Follow follow;
     private boolean ended;
     private long queryCount, wakeNs = Long.MAX_VALUE;
@@ -57,6 +60,7 @@
     public Decider(ProxyStart start, Threads threads, EventLog log, Clock clock, Descriptors descriptors,
                    Supplier<Socket> sockets, long restNs) {
         this.start = start;
+        this.threads = threads;
         this.clock = clock;
         this.log = log;
         balance = new Balance(start.figures.deployment, start.seed);
@@ -73,6 +77,7 @@
 
     @Override
     public void run() {
+        threads.start("stalls", stalls);
         try {
             while (!ended) {
                 Runnable message = mailbox.await(wakeNs - clock.now());
@@ -88,6 +93,7 @@
             log.trouble("the module failed, the proxy ends", EventLog.where(e));
             Runtime.getRuntime().halt(MODULE_FAILED);
         }
+        stalls.end();
     }
 
     /** Ends its thread, once all that it has been told before is done; nothing may be told to it any more. */
@@ -144,7 +150,8 @@
                 tally.completed();
                 q.client.answer(q, reply.answer());
             }
-            balance.ended(clock.now(), q.id, e.number, reply.outcome(), reply.note(), reply.load(), q.over, fresh());
+            balance.ended(clock.now(), q.id, e.number, reply.outcome(), reply.note(), reply.load(), q.over,
+                stalls.total() - e.stalledNs, fresh());
         }
         carryOut();
         if (q != null) {
@@ -228,13 +235,14 @@
     private void carryOut() {
         wakeNs = decisions.wakeNs;
         long now = clock.now();
-        String line = tally.due(now);
+        String line = tally.due(now, stalls.total());
         if (line != null) {
             log.event("work", line);
         }
         for (Decisions.Start s : decisions.starts) {
             Query q = queries.get(s.query());
-            Errand e = new Errand(q, q.executions.size(), nodes.get(s.node()), now + s.allowNs());
+            Errand e = new Errand(q, q.executions.size(), nodes.get(s.node()), now + s.allowNs(),
+                stalls.total());
             q.executions.add(e);
             q.out++;
             e.node.tell(() -> e.node.begin(e));
@@ -260,7 +268,7 @@
                 mailbox.tell(() -> unknown(id)); // gone since the module last heard of it
                 continue;
             }
-            Errand probe = new Errand(null, 0, n, now + 2 * start.figures.connectNs);
+            Errand probe = new Errand(null, 0, n, now + 2 * start.figures.connectNs, stalls.total());
             n.tell(() -> n.begin(probe));
         }
         for (NodeId id : decisions.closes) {
--- a/src/main/java/spurroad/routing/Errand.java
+++ b/src/main/java/spurroad/routing/Errand.java
@@ -15,13 +15,16 @@
     NodeConnection connection;
     Threads.Alarm alarm;
     long begunAt;
+    /** How long the proxy had been held up when this was decided on. */
+    final long stalledNs;
     boolean ended;
 
-    Errand(Query query, int number, NodeActor node, long until) {
+    Errand(Query query, int number, NodeActor node, long until, long stalledNs) {
         this.query = query;
         this.number = number;
         this.node = node;
         this.until = until;
+        this.stalledNs = stalledNs;
     }
 
     MetaCommand command() {
--- a/src/main/java/spurroad/routing/Tally.java
+++ b/src/main/java/spurroad/routing/Tally.java
@@ -6,11 +6,12 @@
 
 /** What became of queries and executions since the last line about it; the module's actor keeps it. */
 final class Tally {
+    private static final long NS_PER_MS = 1_000_000L;
     private static final long NS_PER_S = 1_000_000_000L;
     private static final long APART_NS = 10_000_000_000L; // ns; short beside a trouble, long beside reading it
     private final Map<Outcome, Integer> executions = new EnumMap<>(Outcome.class);
     private int queries, completed, rejected, aborted, left;
-    private long since;
+    private long since, stalledNs;
 
     void arrived() {
         queries++;
@@ -34,15 +35,17 @@
     }
 
     /** A line once enough time has passed, and a new start; else null. */
-    String due(long now) {
+    String due(long now, long stalled) {
         since = now - since > 2 * APART_NS ? now : since; // it was quiet in between
         if (now - since < APART_NS || queries + executions.size() == 0) {
             return null;
         }
         String line = queries + " queries in " + (now - since) / NS_PER_S + " s, " + completed + " completed, "
-            + rejected + " rejected, " + aborted + " aborted, " + left + " left by clients; executions " + executions;
+            + rejected + " rejected, " + aborted + " aborted, " + left + " left by clients; executions " + executions + "; held up "
+            + (stalled - stalledNs) / NS_PER_MS + " ms";
         queries = completed = rejected = aborted = left = 0;
         executions.clear();
+        stalledNs = stalled;
         since = now;
         return line;
     }
--- a/src/main/java/spurroad/transport/Listener.java
+++ b/src/main/java/spurroad/transport/Listener.java
@@ -4,6 +4,7 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketException;
 import java.net.SocketTimeoutException;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -20,7 +21,8 @@
     private static final int BACKLOG = 1024; // connections; a burst of clients after a restart
     private static final long ASK_NS = 2_000_000L; // ns; between askings for a place: an idle connection closes in less
     private static final long REST_MS = 20; // ms; after a failed accept, which may fail again at once
-    private static final int LAST_MS = 50; // ms; without a further connection, before the socket is closed
+    private static final int LOOK_MS = 150; // ms; how often it is seen whether to end; each look costs some CPU
+    private static final int LAST_MS = 20; // ms; without a further connection, before the socket is closed
 
     private final ServerSocket socket;
     private final Descriptors descriptors;
@@ -36,7 +38,7 @@
         socket = new ServerSocket();
         socket.setReuseAddress(true);
         socket.bind(at, BACKLOG);
-        socket.setSoTimeout(LAST_MS);
+        socket.setSoTimeout(LOOK_MS);
     }
 
     public int port() {
@@ -49,9 +51,10 @@
         while (more) {
             boolean last = ending;
             try {
+                socket.setSoTimeout(last ? LAST_MS : LOOK_MS);
                 boolean guest = !place();
                 more = accept(guest) || !last;
-            } catch (InterruptedException e) {
+            } catch (InterruptedException | SocketException e) {
                 more = false;
             }
         }
--- a/src/main/java/spurroad/wirehost/WireHost.java
+++ b/src/main/java/spurroad/wirehost/WireHost.java
@@ -201,7 +201,7 @@
                 CacheNote note = NOTES[Math.min(f.get() & 0xff, NOTES.length - 1)];
                 Outcome outcome = outcome(f);
                 LoadReport load = load(f, host.columns);
-                return () -> to.ended(now, query, execution, outcome, note, load, last, decisions);
+                return () -> to.ended(now, query, execution, outcome, note, load, last, 0, decisions);
             }
             case CHECKED: {
                 NodeId node = node(f);
--- a/src/test/java/spurroad/BalanceTest.java
+++ b/src/test/java/spurroad/BalanceTest.java
@@ -465,6 +465,21 @@
         assertTrue(out.size() <= 4, "late answers take that back: " + out.size());
     }
 
+    /** First incident on sockets: a proxy short of CPU took its own stalls for slow nodes, and rejected for seconds. */
+    @Test
+    public void timeInWhichTheProxyItselfWasHeldUpIsNotTheNodes() {
+        for (boolean told : new boolean[] {true, false}) {
+            Rig rig = Rig.of(6, false);
+            for (int i = 0; i < 20; i++) {
+                rig.ask(i, READ, KEY);
+                rig.now += 600 * MS;
+                rig.own = told ? 580 * MS : 0;
+                rig.end(i, 0, Outcome.COMPLETED);
+            }
+            assertEquals(rig.ask(100, READ, KEY).starts.size() + rig.ask(101, READ, KEY).starts.size(), told ? 2 : 1);
+        }
+    }
+
     @Test
     public void missesOfOneKeyShareAFetchAndThenLookAgain() {
         Rig rig = Rig.of(5, true);
--- a/src/test/java/spurroad/Rig.java
+++ b/src/test/java/spurroad/Rig.java
@@ -41,7 +41,7 @@
     public static final TrackId READ = new TrackId(0), MARKED = new TrackId(1), ONCE = new TrackId(2);
     final Balance balance;
     final Decisions decided = new Decisions();
-    long now = 100_000 * MS;
+    long now = 100_000 * MS, own;
 
     Rig(boolean aside, DedupScope scope) {
         this(aside, scope, 7, false);
@@ -108,7 +108,7 @@
 
     Decisions end(long query, int execution, Outcome outcome, CacheNote note, boolean last) {
         decided.clear();
-        balance.ended(now, new QueryId(query), execution, outcome, note, LoadReport.NONE, last, decided);
+        balance.ended(now, new QueryId(query), execution, outcome, note, LoadReport.NONE, last, own, decided);
         return decided;
     }
 
--- a/src/test/java/spurroad/transport/ActorTest.java
+++ b/src/test/java/spurroad/transport/ActorTest.java
@@ -54,6 +54,15 @@
         actor.tell(done::countDown); // a mailbox that was let go of takes more
     }
 
+    @Test
+    public void aSleeperThatWakesLateWasHeldUp() {
+        Stalls stalls = new Stalls();
+        for (long ms : new long[] {5, 6, 55, 7, 105}) {
+            stalls.woke(ms * 1_000_000);
+        }
+        assertEquals(stalls.total(), 150_000_000);
+    }
+
     @Test
     public void roomAndPlacesRunOutAndComeBack() throws InterruptedException {
         Room room = new Room(10_000);
