--- a/src/main/java/spurroad/routing/ClientConnection.java
+++ b/src/main/java/spurroad/routing/ClientConnection.java
@@ -27,7 +27,7 @@
     private static final long FRESH_NS = 250_000_000L; // ns; who opens a connection for a query sends it sooner
     private static final long HOLDING_NS = 1_000_000_000L; // ns; for guests, and for answers where memory is short
     private static final long IDLE_NS = 2_000_000_000L; // ns; so long without a whole command: owed a word or a close
-    private static final long CROWDED_NS = 500_000_000L; // ns; the same where many are connected: who goes on has
+    private static final long CROWDED_NS = 100_000_000L; // ns; the same after an answer where many are connected
     private static final long FAULT_REST_MS = 100; // ms; who sends nonsense again at once costs others nothing
     private static final int LAST_BYTES = 256 * 1024; // bytes; read on after a last answer, so that it arrives
 
@@ -276,7 +276,7 @@
         closeIfStuck();
         if (now - SLOW_NS > writingSince) {
             connection.close();
-        } else if (answered ? crowded && now - idleSince > CROWDED_NS : now - idleSince > IDLE_NS) {
+        } else if (now - idleSince > (crowded ? answered ? CROWDED_NS : HOLDING_NS : answered ? SLOW_NS : IDLE_NS)) {
             closeIfIdle();
         }
     }
