--- a/src/main/java/spurroad/routing/ClientConnection.java
+++ b/src/main/java/spurroad/routing/ClientConnection.java
@@ -27,7 +27,7 @@
     private static final long FRESH_NS = 250_000_000L; // ns; who opens a connection for a query sends it sooner
     private static final long HOLDING_NS = 1_000_000_000L; // ns; for guests, and for answers where memory is short
     private static final long IDLE_NS = 2_000_000_000L; // ns; so long without a whole command: owed a word or a close
-    private static final long CROWDED_NS = 100_000_000L; // ns; the same after an answer where many are connected
+    private static final long CROWDED_NS = 300_000_000L; // ns; the same after an answer where many are connected
     private static final long FAULT_REST_MS = 100; // ms; who sends nonsense again at once costs others nothing
     private static final int LAST_BYTES = 256 * 1024; // bytes; read on after a last answer, so that it arrives
 
@@ -242,10 +242,14 @@
         return open.get() == 0 && clients.clock.now() - idleSince > (answered ? REST_NS : FRESH_NS);
     }
 
-    /** Closes it between two commands, from any thread; one that the reader has begun keeps it open. */
+    /**
+     * Closes it between two commands, from any thread; one that the reader has begun keeps it open. By a reset: where
+     * the process was held up just then, the reader may hold a command that it can't answer, which the client has to
+     * send again; an ordered end would tell it that the command was taken (lost in the first incident).
+     */
     void closeIfIdle() {
-        if (idle()) {
-            closeAfter(0);
+        if (idle() && !connection.unread() && open.compareAndSet(0, CLOSED)) {
+            connection.reset();
         }
     }
 
--- a/src/main/java/spurroad/routing/Clients.java
+++ b/src/main/java/spurroad/routing/Clients.java
@@ -27,7 +27,7 @@
     private static final int HEAP_SHARE = 3; // one part in so many of the heap; answers and buffers take more
     private static final int AT_ONCE = 4; // connections; closed at a shortage, so that it is not one again at once
     private static final int CROWD = 4; // one part in so many of the places: as many open queries are rare
-    private static final long TIDY_NS = 50_000_000L; // ns; between looks at who says nothing; some microseconds each
+    private static final long TIDY_NS = 100_000_000L; // ns; between looks at who says nothing; some microseconds each
     private static final long MIB = 1 << 20, NS_PER_MS = 1_000_000L;
 
     final ProxyStart start;
--- a/src/main/java/spurroad/transport/Connection.java
+++ b/src/main/java/spurroad/transport/Connection.java
@@ -58,6 +58,16 @@
         }
     }
 
+    /** Closes it so that the peer learns that what it may have sent has not been taken. */
+    public void reset() {
+        try {
+            socket.setSoLinger(true, 0);
+        } catch (IOException e) {
+            // closed already
+        }
+        close();
+    }
+
     public boolean closed() {
         return socket.isClosed();
     }
--- a/src/test/java/spurroad/program/ServiceTest.java
+++ b/src/test/java/spurroad/program/ServiceTest.java
@@ -7,6 +7,7 @@
 import static org.testng.Assert.assertTrue;
 
 import java.io.IOException;
+import java.net.SocketException;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
@@ -333,6 +334,23 @@
         }
     }
 
+    /** First incident: clients that ask once and stay held all the connections that they and others may have. */
+    @Test
+    public void whereManyAreConnectedIdleOnesAreClosedSoonAndByAReset() throws Exception {
+        try (Peer n = new Peer(hit("v")); Peer o = new Peer(m -> ok(""))) {
+            Service s = proxy(n, o);
+            List<Client> stay = new ArrayList<>();
+            for (int i = 0; i < 60; i++) {
+                stay.add(new Client(s.port()));
+                assertEquals(stay.get(i).say(READ).line() + stay.get(i).line(), "VA 1 O1v");
+            }
+            assertThrows(SocketException.class, () -> stay.get(0).in.line(9));
+            for (Client c : stay) {
+                c.close();
+            }
+        }
+    }
+
     /** Bad clients: a close upon unread bytes took the error away from those who were still sending. */
     @Test
     public void anErrorReachesAClientThatIsStillSending() throws Exception {
