--- a/src/main/java/spurroad/Balance.java
+++ b/src/main/java/spurroad/Balance.java
@@ -150,7 +150,7 @@
             q.served |= outcome == Outcome.COMPLETED;
             if (q.served && !q.done) {
                 // a full node costs little where the next answers: queries tell of pressure, not executions
-                pressed.add(now, now - q.sloAt > (PRESSED_SHARE - 1) * q.track.sloNs() ? 1 : 0, 1);
+                pressed.add(now, now - own - q.sloAt > (PRESSED_SHARE - 1) * q.track.sloNs() ? 1 : 0, 1);
             }
             if (last) {
                 close(q);
--- a/src/main/java/spurroad/model/KindId.java
+++ b/src/main/java/spurroad/model/KindId.java
@@ -1,4 +1,14 @@
 package spurroad.model;
 
 /** A kind of machine. */
-public record KindId(int value) { }
+public record KindId(int value) {
+    @Override
+    public boolean equals(Object other) { // a record's own are slow where only the quick compiler runs
+        return other instanceof KindId that && that.value == value;
+    }
+
+    @Override
+    public int hashCode() {
+        return Integer.hashCode(value);
+    }
+}
--- a/src/main/java/spurroad/model/NodeId.java
+++ b/src/main/java/spurroad/model/NodeId.java
@@ -1,4 +1,14 @@
 package spurroad.model;
 
 /** A cache node or the origin: address and port, packed; says nothing of zone, kind or age. */
-public record NodeId(long value) { }
+public record NodeId(long value) {
+    @Override
+    public boolean equals(Object other) { // a record's own are slow where only the quick compiler runs
+        return other instanceof NodeId that && that.value == value;
+    }
+
+    @Override
+    public int hashCode() {
+        return Long.hashCode(value);
+    }
+}
