--- a/src/main/java/spurroad/program/Main.java
+++ b/src/main/java/spurroad/program/Main.java
@@ -3,6 +3,7 @@
 import java.io.BufferedInputStream;
 import java.io.DataInputStream;
 import java.io.IOException;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import spurroad.start.FaultyKeyException;
 import spurroad.start.ProxyStart;
@@ -39,15 +40,20 @@
         // the standard library's own lines are two each, and name the class that logs rather than what happened
         System.setProperty("java.util.logging.manager", LastingLogs.class.getName());
         System.getProperties().putIfAbsent(LINE_PROPERTY, "%1$tFT%1$tT.%1$tL %4$s %5$s%6$s%n");
+        // from the first moment: the default is to end, and under load this thread may be late to say otherwise
+        CompletableFuture<Service> up = new CompletableFuture<>();
+        Signal.handle(new Signal("HUP"),
+            hup -> up.thenAccept(s -> s.reload(() -> ProxyStart.ofEnvironment(System.getenv()))));
         try {
             ProxyStart start = ProxyStart.ofEnvironment(System.getenv());
             try {
                 EventLog log = new EventLog();
+                log.event("starting", start.name); // the first line takes longest, and no query is to wait for it
                 Threads threads = new Threads(log);
                 Clock clock = new Clock();
                 new Rehearsal(start).play(threads, log, clock);
                 Service service = new Service(start, threads, log, clock);
-                Signal.handle(new Signal("HUP"), hup -> service.reload(() -> ProxyStart.ofEnvironment(System.getenv())));
+                up.complete(service);
                 Runtime.getRuntime().addShutdownHook(new Thread(() -> shutDown(service)));
             } catch (IOException e) {
                 end("spurroad: can't listen at " + start.listen + ": " + e.getMessage(), FAILED);
