--- a/src/main/java/spurroad/protocol/MetaReply.java
+++ b/src/main/java/spurroad/protocol/MetaReply.java
@@ -26,7 +26,7 @@
             case "VA":
                 long length = tokens.length < 2 ? -1 : Numbers.whole(tokens[1]);
                 if (length < 0 || length > MetaCommand.MOST_VALUE) {
-                    throw new ProtocolException("a value of impossible length");
+                    throw new ProtocolException("a value of impossible length, " + line);
                 }
                 byte[] answer = withRoom(valueLine((int) length, id), (int) length);
                 in.bytes(answer, answer.length - 2 - (int) length, (int) length);
