--- a/src/main/java/spurroad/routing/NodeActor.java
+++ b/src/main/java/spurroad/routing/NodeActor.java
@@ -21,7 +21,8 @@
 final class NodeActor extends Actor {
     /** What all node actors share. */
     record Surroundings(Threads threads, EventLog log, Clock clock, Descriptors descriptors, long connectNs,
-                        long idleNs, long restNs, Supplier<Socket> sockets, Runnable closeIdleEverywhere, Ended ended) { }
+                        long idleNs, long restNs, Supplier<Socket> sockets,
+                        Runnable closeIdleEverywhere, Ended ended) { }
 
     /** Hears how each errand ended. */
     interface Ended {
--- a/src/main/java/spurroad/routing/Tally.java
+++ b/src/main/java/spurroad/routing/Tally.java
@@ -41,8 +41,8 @@
             return null;
         }
         String line = queries + " queries in " + (now - since) / NS_PER_S + " s, " + completed + " completed, "
-            + rejected + " rejected, " + aborted + " aborted, " + left + " left by clients; executions " + executions + "; held up "
-            + (stalled - stalledNs) / NS_PER_MS + " ms";
+            + rejected + " rejected, " + aborted + " aborted, " + left + " left by clients; executions " + executions
+            + "; held up " + (stalled - stalledNs) / NS_PER_MS + " ms";
         queries = completed = rejected = aborted = left = 0;
         executions.clear();
         stalledNs = stalled;
--- a/src/main/java/spurroad/start/ProxyStart.java
+++ b/src/main/java/spurroad/start/ProxyStart.java
@@ -26,7 +26,7 @@
     private static final double PLACE_MB = 0.08; // MiB; a connection with its thread: 77 KiB were seen
     private static final int LEAST_PLACES = 32; // connections; with less memory we hope rather than serve nobody
 
-    private static final Set<String> TOLD_ANEW = Set.of("discovery", "seed", "known"); // keys; they change with each file
+    private static final Set<String> TOLD_ANEW = Set.of("discovery", "seed", "known"); // keys; new with each file
 
     public final String name;
     public final InetSocketAddress listen;
--- a/src/main/java/spurroad/transport/Threads.java
+++ b/src/main/java/spurroad/transport/Threads.java
@@ -9,7 +9,8 @@
 
 /**
  * Starts every thread of the program, all with small stacks. Those of connections and of
- * short work are kept a while and used again: many connections are short, and a new thread costs more than their work. One further thread tells when a time is reached.
+ * short work are kept a while and used again: many connections are short, and a new thread costs more than their
+ * work. One further thread tells when a time is reached.
  */
 public final class Threads {
     private static final long STACK_BYTES = 144 * 1024; // bytes; parsers and actors go a few frames deep
