Values of up to 1 MiB that nodes and origin give are passed on

The limit in MetaReply.read and Http.exactly was the 64 KiB that the protocol names for values; the clients take the larger ones. Ruled out: spoilt answers (they would come well on the second try), stalls (77 ms of 10 s).

--- a/src/main/java/spurroad/protocol/Http.java
+++ b/src/main/java/spurroad/protocol/Http.java
@@ -170,7 +170,7 @@
     }
 
     private static byte[] exactly(ByteSource in, long length) throws IOException {
-        if (length < 0 || length > MetaCommand.MOST_VALUE) {
+        if (length < 0 || length > MetaReply.MOST_ANSWER) {
             throw new ProtocolException("a body of impossible length");
         }
         byte[] body = new byte[(int) length];
--- a/src/main/java/spurroad/protocol/MetaReply.java
+++ b/src/main/java/spurroad/protocol/MetaReply.java
@@ -11,6 +11,8 @@
 
 /** The meta commands' answers: those of cache nodes read, those to clients written. */
 public final class MetaReply {
+    /** Bytes; nodes have given values of 400 KB, six times what the protocol has for clients. */
+    static final int MOST_ANSWER = 1024 * 1024;
     private static final int MOST_STATS = 64; // lines; a report has four fields at most
     private static final byte[] PROBE = "stats load\r\n".getBytes(StandardCharsets.ISO_8859_1);
 
@@ -25,7 +27,7 @@
         switch (tokens[0]) {
             case "VA":
                 long length = tokens.length < 2 ? -1 : Numbers.whole(tokens[1]);
-                if (length < 0 || length > MetaCommand.MOST_VALUE) {
+                if (length < 0 || length > MOST_ANSWER) {
                     throw new ProtocolException("a value of impossible length, " + line);
                 }
                 byte[] answer = withRoom(valueLine((int) length, id), (int) length);
--- a/src/test/java/spurroad/protocol/ParsersTest.java
+++ b/src/test/java/spurroad/protocol/ParsersTest.java
@@ -129,9 +129,10 @@
     @DataProvider
     Object[][] replies() {
         String big = "VA 65536 O1\r\n" + LONG.substring(0, 65536) + "\r\n";
+        String large = "VA 70000 O1\r\n" + LONG + "\r\n"; // four times the queries: taken as spoilt, a tenth rejected
         return new Object[][] {{"VA 0 O1\r\n\r\n", Outcome.COMPLETED, CacheNote.NONE, "VA 0 O1\r\n\r\n"},
             {"VA 2 O1 h1 Linflight=7,queue=2\r\nab\r\n", Outcome.COMPLETED, CacheNote.HIT, "VA 2 O1\r\nab\r\n"},
-            {big, Outcome.COMPLETED, CacheNote.NONE, big},
+            {big, Outcome.COMPLETED, CacheNote.NONE, big}, {large, Outcome.COMPLETED, CacheNote.NONE, large},
             {"HD O1 cff\r\n", Outcome.COMPLETED, CacheNote.NONE, "HD O1 cff\r\n"},
             {"EN O1 h0\r\n", Outcome.MISS, CacheNote.MISS, null},
             {"EN O1 h0 Z\r\n", Outcome.MISS, CacheNote.FETCH_OUT, null},
