Tidying after a reread: one check of a word, one end between commands, one held answer in tests

MetaCommand and MetaReply tested a text for printable bytes each by themselves; ClientConnection claimed a connection between two commands in two places; a nested choice of times has two names now; the listener set its time-out once more than it needs; two tests held answers back with the same lines. Left: equals and hashCode stand in six id records alike (a record has no base class to put them in); a command's class and customer are looked up twice, in lists of two or three names.

--- a/src/main/java/spurroad/protocol/MetaCommand.java
+++ b/src/main/java/spurroad/protocol/MetaCommand.java
@@ -101,7 +101,7 @@
     private boolean asNodesTakeIt() {
         boolean form = tokens.length == FLAGS_FROM + 3 && (kind == Kind.WRITE || tokens[FLAGS_FROM].equals("v"));
         for (String token : tokens) {
-            form &= !token.isEmpty() && token.chars().allMatch(c -> c > ' ' && c < 0x7f);
+            form &= isWord(token);
         }
         int names = extras().split(",", -1).length; // each once, and with a value
         return form && flagAt(tokens, FLAGS_FROM + 1, 'O') > 0 && extrasAt > 0 && pairs.size() == names
@@ -109,6 +109,11 @@
                 name -> !pairs.containsKey(name) || Numbers.whole(pairs.get(name)) >= 0);
     }
 
+    /** Whether a text can stand between two blanks of a line: not empty, printable, no blank. */
+    static boolean isWord(String text) {
+        return !text.isEmpty() && text.chars().allMatch(c -> c > ' ' && c < 0x7f);
+    }
+
     /** The place of the token that begins with the letter, or -1. */
     static int flagAt(String[] tokens, int from, char letter) {
         for (int i = from; i < tokens.length; i++) {
--- a/src/main/java/spurroad/protocol/MetaReply.java
+++ b/src/main/java/spurroad/protocol/MetaReply.java
@@ -120,7 +120,7 @@
 
     /** The message that gives a client the receipt of its write. */
     public static byte[] receipt(String id, String receipt) throws ProtocolException {
-        if (receipt.isEmpty() || !receipt.chars().allMatch(c -> c > ' ' && c < 0x7f)) {
+        if (!MetaCommand.isWord(receipt)) {
             throw new ProtocolException("no receipt");
         }
         return text("HD O" + id + " c" + receipt);
--- a/src/main/java/spurroad/routing/ClientConnection.java
+++ b/src/main/java/spurroad/routing/ClientConnection.java
@@ -182,8 +182,8 @@
                 connection.write(slot.answer);
             }
             // at once: the client takes the connection for its next query as soon as it has the answer
-            if (goes) {
-                closeAfter(ready.size());
+            if (goes && endsAfter(ready.size())) {
+                connection.close();
             }
         } catch (IOException e) {
             connection.close();
@@ -248,16 +248,14 @@
      * send again; an ordered end would tell it that the command was taken (lost in the first incident).
      */
     void closeIfIdle() {
-        if (idle() && !connection.unread() && open.compareAndSet(0, CLOSED)) {
+        if (idle() && endsAfter(0)) {
             connection.reset();
         }
     }
 
-    /** Closes it unless more has come than the commands that have had their answers. */
-    private void closeAfter(int answers) {
-        if (!connection.unread() && open.compareAndSet(answers, CLOSED)) {
-            connection.close();
-        }
+    /** Lets the reader begin nothing more, unless more has come than the commands that have had their answers. */
+    private boolean endsAfter(int answers) {
+        return !connection.unread() && open.compareAndSet(answers, CLOSED);
     }
 
     /** Closes it where the client takes its answers too slowly for the memory that they hold. */
@@ -280,8 +278,16 @@
         closeIfStuck();
         if (now - SLOW_NS > writingSince) {
             connection.close();
-        } else if (now - idleSince > (crowded ? answered ? CROWDED_NS : HOLDING_NS : answered ? SLOW_NS : IDLE_NS)) {
+        } else if (now - idleSince > (crowded ? crowdedNs() : quietNs())) {
             closeIfIdle();
         }
     }
+
+    private long crowdedNs() {
+        return answered ? CROWDED_NS : HOLDING_NS;
+    }
+
+    private long quietNs() {
+        return answered ? SLOW_NS : IDLE_NS;
+    }
 }
--- a/src/main/java/spurroad/transport/Listener.java
+++ b/src/main/java/spurroad/transport/Listener.java
@@ -38,7 +38,6 @@
         socket = new ServerSocket();
         socket.setReuseAddress(true);
         socket.bind(at, BACKLOG);
-        socket.setSoTimeout(LOOK_MS);
     }
 
     public int port() {
--- a/src/test/java/spurroad/program/ServiceTest.java
+++ b/src/test/java/spurroad/program/ServiceTest.java
@@ -62,6 +62,14 @@
         }
     }
 
+    /** Answers as a hit, but not before the latch opens. */
+    private static Function<String, String> heldUntil(CountDownLatch open) {
+        return m -> {
+            await(open);
+            return hit("v").apply(m);
+        };
+    }
+
     @DataProvider
     Object[][] queries() {
         Function<String, String> miss = m -> "EN O" + id(m) + "\r\n";
@@ -252,11 +260,7 @@
     @Test
     public void theEndAnswersWhatWasTakenAndLetsNobodyElseIn() throws Exception {
         CountDownLatch ending = new CountDownLatch(1);
-        Function<String, String> held = m -> {
-            await(ending);
-            return hit("v").apply(m);
-        };
-        try (Peer n = new Peer(held); Peer o = new Peer(m -> ok(""))) {
+        try (Peer n = new Peer(heldUntil(ending)); Peer o = new Peer(m -> ok(""))) {
             Service s = proxy(n, o);
             try (Client busy = new Client(s.port()); Client idle = new Client(s.port())) {
                 assertEquals(idle.say("mn\r\n").line(), "MN");
@@ -302,11 +306,7 @@
     @Test
     public void theIdOfAnOpenQueryIsRefusedAndTheQueryUndisturbed() throws Exception {
         CountDownLatch refused = new CountDownLatch(1);
-        Function<String, String> held = m -> {
-            await(refused);
-            return hit("v").apply(m);
-        };
-        try (Peer n = new Peer(held); Peer o = new Peer(m -> ok(""))) {
+        try (Peer n = new Peer(heldUntil(refused)); Peer o = new Peer(m -> ok(""))) {
             Service s = proxy(n, o);
             try (Client first = new Client(s.port()); Client other = new Client(s.port())) {
                 first.say(READ + READ);
