--- a/cli/src/test/java/spurroad/cli/ArchitectureTest.java
+++ b/cli/src/test/java/spurroad/cli/ArchitectureTest.java
@@ -16,7 +16,7 @@
         .withImportOption(new ImportOption.DoNotIncludeTests()).importPackages("spurroad");
     private static final String[] DECISIONS = {"spurroad", "spurroad.model", "spurroad.admission"};
     private static final String[] PROXY = {"spurroad.transport..", "spurroad.protocol..", "spurroad.routing..",
-        "spurroad.start..", "spurroad.program..", "spurroad.wirehost.."};
+        "spurroad.operation..", "spurroad.start..", "spurroad.program..", "spurroad.wirehost.."};
 
     @Test
     public void decisionsTouchNoInputOutputClockOrThread() {
@@ -56,14 +56,17 @@
             .layer("protocol").definedBy("spurroad.protocol")
             .layer("start").definedBy("spurroad.start")
             .layer("routing").definedBy("spurroad.routing")
+            .layer("operation").definedBy("spurroad.operation")
             .layer("ends").definedBy("spurroad.program", "spurroad.wirehost")
             .layer("product").definedBy("spurroad.toml..", "spurroad.rig..", "spurroad.cli..")
             .whereLayer("product").mayNotBeAccessedByAnyLayer()
             .whereLayer("ends").mayOnlyBeAccessedByLayers("product")
             .whereLayer("routing").mayOnlyBeAccessedByLayers("ends", "product")
+            .whereLayer("operation").mayOnlyBeAccessedByLayers("ends", "product")
             .whereLayer("start").mayOnlyBeAccessedByLayers("routing", "ends", "product")
-            .whereLayer("protocol").mayOnlyBeAccessedByLayers("start", "routing", "ends", "product")
-            .whereLayer("transport").mayOnlyBeAccessedByLayers("protocol", "start", "routing", "ends", "product")
+            .whereLayer("protocol").mayOnlyBeAccessedByLayers("start", "routing", "operation", "ends", "product")
+            .whereLayer("transport").mayOnlyBeAccessedByLayers("protocol", "start", "routing", "operation", "ends",
+                "product")
             .check(ALL);
     }
 
@@ -71,7 +74,7 @@
     public void theLeanProxyNeedsNoLibrary() {
         classes().that().resideInAnyPackage(PROXY).should().onlyDependOnClassesThat()
             .resideInAnyPackage("spurroad", "spurroad.model..", "spurroad.admission..", "spurroad.transport..",
-                "spurroad.protocol..", "spurroad.routing..", "spurroad.start..", "spurroad.program..",
+                "spurroad.protocol..", "spurroad.routing..", "spurroad.operation..", "spurroad.start..", "spurroad.program..",
                 "spurroad.wirehost..", "java..", "sun.misc").check(ALL);
     }
 
--- a/core/src/main/java/spurroad/Balance.java
+++ b/core/src/main/java/spurroad/Balance.java
@@ -44,11 +44,12 @@
     static final long FOLLOW_NS = 500_000_000L; // ns; first pause before following the list again
     static final long LONGEST_FOLLOW_NS = 8_000_000_000L; // ns; the list is one service for all proxies
 
-    private final Deployment given;
     private final Random random;
-    private final long shortestSloNs;
-    private final double mostImportance;
-    private final Fading[] customerSent;
+    private Deployment given;
+    private long shortestSloNs;
+    private double mostImportance;
+    private Fading[] customerSent = {};
+    private final Set<NodeId> byHand = new HashSet<>(); // taken out of use by staff; listed at some time
     private final Stage first = new Entry();
     private final Fetch fetch = new Fetch();
     private final Choice choice = new Choice();
@@ -78,15 +79,22 @@
     private Decisions decisions;
 
     public Balance(Deployment start, long seed) {
-        given = start;
         random = new Random(seed);
-        shortestSloNs = start.shortestSloNs(FRESH_NS);
-        mostImportance = start.tracks().stream().mapToDouble(Track::importance).max().orElse(0);
-        customerSent = new Fading[start.customerPace().size()];
-        Arrays.setAll(customerSent, c -> new Fading(LONG_MEMORY_NS));
+        take(start);
         Stage.link(first, fetch, choice, sending);
     }
 
+    private void take(Deployment figures) {
+        given = figures;
+        shortestSloNs = figures.shortestSloNs(FRESH_NS);
+        mostImportance = figures.tracks().stream().mapToDouble(Track::importance).max().orElse(0);
+        int before = customerSent.length;
+        customerSent = Arrays.copyOf(customerSent, figures.customerPace().size());
+        for (int c = before; c < customerSent.length; c++) {
+            customerSent[c] = new Fading(LONG_MEMORY_NS);
+        }
+    }
+
     // ---- what happens
 
     /** The list came, whole or as changes. */
@@ -98,21 +106,66 @@
         for (NodeEntry e : entries) {
             Node n = nodes.get(e.id());
             if (n == null || n.entry.startedNs() != e.startedNs()) {
-                watched.remove(nodes.put(e.id(), new Node(e, MEMORY_NS, LONG_MEMORY_NS, PAUSE_NS)));
+                anew(e, n == null ? 0 : n.backNs);
             } else {
                 n.entry = e;
             }
         }
-        List<Node> ready = nodes.values().stream().filter(n -> n.entry.phase() == Phase.READY).toList();
-        origin = ready.stream().filter(n -> n.entry.kind().equals(given.originKind())).findFirst().orElse(null);
-        caches = ready.stream().filter(n -> n != origin).toList();
-        ring = null; // built when next walked: a proxy hears of more changes than it sees queries
+        arrange();
         followPause = following ? FOLLOW_NS : followPause;
         into.follow = given.mustAsk() && !following;
         following = true;
         finish();
     }
 
+    private void anew(NodeEntry e, long backNs) {
+        Node n = new Node(e, MEMORY_NS, LONG_MEMORY_NS, PAUSE_NS);
+        n.backNs = backNs;
+        watched.remove(nodes.put(e.id(), n));
+    }
+
+    /** Takes up what the list and staff say of nodes; the strictest of it holds. */
+    private void arrange() {
+        nodes.values().forEach(n -> n.banned = byHand.contains(n.entry.id()));
+        List<Node> ready = nodes.values().stream().filter(n -> n.phase() == Phase.READY).toList();
+        origin = ready.stream().filter(n -> n.entry.kind().equals(given.originKind())).findFirst().orElse(null);
+        caches = ready.stream().filter(n -> n != origin).toList();
+        ring = null; // built when next walked: a proxy hears of more changes than it sees queries
+        decisions.standings = true;
+    }
+
+    /**
+     * Staff take a cache node out of use, or give it back, whatever the list says; saying it again changes nothing.
+     * Nothing new is started at it from now on. Given back, it is cold.
+     */
+    public void byHand(long at, NodeId id, boolean out, Decisions into) {
+        begin(at, into);
+        if (out ? byHand.add(id) : byHand.remove(id)) {
+            Node n = nodes.get(id);
+            if (!out && n != null) {
+                anew(n.entry, now);
+            }
+            arrange();
+        }
+        finish();
+    }
+
+    /** Other figures count for what comes from now on; what is under way keeps its track, and the lower bounds. */
+    public void deployed(long at, Deployment figures, Decisions into) {
+        begin(at, into);
+        take(figures);
+        arrange();
+        finish();
+    }
+
+    /** What there is to tell staff of cache nodes. */
+    public Standings standings() {
+        List<Node> listed = nodes.values().stream().filter(n -> n.entry.phase() != Phase.GONE
+            && !n.entry.kind().equals(given.originKind())).toList();
+        return new Standings(listed.size(), listed.stream()
+            .mapToLong(n -> n.banned ? Long.MAX_VALUE : n.asideUntil).filter(until -> until > now).toArray());
+    }
+
     /** A call to the list failed or its subscription ended: ask again after a growing pause. */
     public void listFailed(long at, Decisions into) {
         begin(at, into);
@@ -127,7 +180,7 @@
         begin(at, into);
         Track kind = given.tracks().get(Math.min(track.value(), given.tracks().size() - 1));
         long slo = kind.sloNs() + (long) (kind.sloStretch() * workNs);
-        Qry q = new Qry(id, kind, key, write, order++, random, now, slo, budgetNs);
+        Qry q = new Qry(id, kind, key, write, order++, random, now, slo, budgetNs, given.mostExecutions());
         arrivals.add(now, 1, 0);
         int c = customer.value();
         if (c >= 0 && c < customerSent.length) {
@@ -176,6 +229,7 @@
                 List.copyOf(probingQueries).forEach(q -> choice.heard(q, n));
             } else {
                 n.probeFailedAt = now;
+                into.standings |= !n.proven;
                 n.asideUntil = n.proven ? n.asideUntil : Math.max(n.asideUntil, now + n.pause);
             }
         }
@@ -449,7 +503,7 @@
     // ---- rules by the kind of track: the only place that says what may be sent or answered
 
     private boolean maySend(Qry q, Node n) {
-        boolean may = q.execs.size() < given.mostExecutions() && q.out == 0 && n.entry.phase() == Phase.READY;
+        boolean may = q.execs.size() < mostExecutions(q) && q.out == 0 && n.phase() == Phase.READY;
         Exec ran = q.mayHaveRun;
         return may && (ran == null || switch (q.track.effect()) {
             case IDEMPOTENT -> true;
@@ -462,6 +516,10 @@
         });
     }
 
+    private int mostExecutions(Qry q) {
+        return Math.min(q.mostExecutions, given.mostExecutions()); // figures may have changed since it came
+    }
+
     private boolean mayReject(Qry q) {
         return q.track.effect() == Effect.IDEMPOTENT || q.out == 0 && (q.mayHaveRun == null
             || q.track.effect() == Effect.DEDUPLICATED && q.track.dedupScope() == DedupScope.ALL && remembered(q));
@@ -553,7 +611,7 @@
     }
 
     private void probe(Node n) {
-        if (given.probes() && !n.probing) {
+        if (given.probes() && !n.probing && !n.banned) {
             n.probing = decisions.probes.add(n.entry.id());
         }
     }
@@ -623,6 +681,7 @@
 
     private void setAside(Node n) {
         n.asideUntil = now + n.pause;
+        decisions.standings = true;
         n.pause = Math.min(LONGEST_PAUSE_NS, 2 * n.pause);
         n.proven = !given.probes();
         watched.add(n);
@@ -645,7 +704,7 @@
     private void sweep() {
         List<Node> silent = new ArrayList<>();
         watched.removeIf(n -> n == origin
-            || n.out.isEmpty() && (n.trickle == 0 || n.proven || n.entry.phase() != Phase.READY));
+            || n.out.isEmpty() && (n.trickle == 0 || n.proven || n.phase() != Phase.READY));
         for (Node n : watched) {
             // heavy queries looked like silence: half of that only asks, and a failed probe confirms
             if (silent(n, n.probeFailedAt > n.lastAnswerAt ? SILENCE : 2 * SILENCE)) {
@@ -659,7 +718,7 @@
                 setAside(n);
             }
             n.out.stream().filter(e -> e.qry.track.effect() != Effect.NON_IDEMPOTENT
-                && e.qry.execs.size() < given.mostExecutions()).forEach(this::stop);
+                && e.qry.execs.size() < mostExecutions(e.qry)).forEach(this::stop);
         }
     }
 
@@ -677,16 +736,16 @@
     private boolean ready(Node n, Qry q) {
         boolean idempotent = q.track.effect() == Effect.IDEMPOTENT;
         boolean trickling = n.trickle > 0 && (!idempotent || n.trickleLeft <= 0 || !n.proven);
-        return n.entry.phase() == Phase.READY && now >= n.asideUntil && !trickling && !q.avoid.contains(n)
+        return n.phase() == Phase.READY && now >= n.asideUntil && !trickling && !q.avoid.contains(n)
             && (idempotent || !silent(n, SILENCE / 2)) && hasRoomWhileCold(n, q);
     }
 
     /** The share that its warm-up allows, by chance: floors a proxy added up (lost data centre at size). */
     private boolean hasRoomWhileCold(Node n, Qry q) {
-        double warmth = (double) Math.max(0, now - n.entry.startedNs()) / Math.max(1, given.coldNs());
+        double warmth = (double) Math.max(0, now - n.startedNs()) / Math.max(1, given.coldNs());
         // storms and hot keys, turned away elsewhere or asked again, pushed cold ones over (release)
         double carried = given.startCapacity() + (1 - given.startCapacity()) * warmth;
-        return n.entry.startedNs() == 0 || warmth >= 1 || q.execs.isEmpty()
+        return n.startedNs() == 0 || warmth >= 1 || q.execs.isEmpty()
             && q.luck * Math.max(1, (n.asked.at(now).top - 1) / (arrivals.at(now).top * n.part))
             < carried * (1 - pressed.ratio(now, PRIOR, 0));
     }
--- a/core/src/main/java/spurroad/Node.java
+++ b/core/src/main/java/spurroad/Node.java
@@ -3,10 +3,13 @@
 import java.util.ArrayList;
 import java.util.List;
 import spurroad.model.NodeEntry;
+import spurroad.model.Phase;
 
 /** What one proxy holds of a listed node. */
 final class Node {
     NodeEntry entry;
+    boolean banned; // by hand
+    long backNs; // when staff gave it back; zero where they did not
     double reported = Double.NaN;
     long reportedAt = Long.MIN_VALUE / 2;
     long lastAnswerAt, probeFailedAt, asideUntil, pause;
@@ -27,6 +30,16 @@
         bad = new Fading(memoryNs);
     }
 
+    /** What it may be used for: of what the list and staff say, the strictest. */
+    Phase phase() {
+        return banned && entry.phase() == Phase.READY ? Phase.DRAINING : entry.phase();
+    }
+
+    /** Since when it warms up; zero for long ago. */
+    long startedNs() {
+        return Math.max(entry.startedNs(), backNs);
+    }
+
     void report(double figure, long now) {
         reported = figure;
         reportedAt = now;
--- a/core/src/main/java/spurroad/Qry.java
+++ b/core/src/main/java/spurroad/Qry.java
@@ -17,6 +17,7 @@
     final boolean write;
     final long order, point, sloAt, endAt;
     final double luck;
+    final int mostExecutions;
     boolean beyondShare, blind, missed, served, done;
     final List<Exec> execs = new ArrayList<>(2);
     int out, holds;
@@ -28,12 +29,13 @@
     Node target;
 
     Qry(QueryId id, Track track, CacheKey key, boolean write, long order, Random random, long now, long sloNs,
-        long budgetNs) {
+        long budgetNs, int mostExecutions) {
         this.id = id;
         this.track = track;
         this.key = key;
         this.write = write;
         this.order = order;
+        this.mostExecutions = mostExecutions;
         point = key.value() == 0 ? random.nextLong() : Ring.mix(key.value());
         luck = random.nextDouble();
         endAt = now + budgetNs;
--- a/core/src/main/java/spurroad/admission/Admission.java
+++ b/core/src/main/java/spurroad/admission/Admission.java
@@ -33,42 +33,47 @@
 
     private final Levels levels = new Levels();
     private final Random random;
-    private final double[] worth; // by track
-    private final double best;
-    private final double[] customerPace; // queries a second, this proxy's part of each customer's share
-    private final double[] customerSent; // faded counts
-    private final long mostAgeNs, maxComeBackNs, comeBackNs;
-    private final int classes;
-    private final double[] came; // faded counts by class, the worthiest first
-    private final int[] rank; // of a track among tracks
+    private double[] worth; // by track
+    private double best;
+    private double[] customerPace; // queries a second, this proxy's part of each customer's share
+    private double[] customerSent = {}; // faded counts
+    private long mostAgeNs, maxComeBackNs, comeBackNs;
+    private int classes;
+    private double[] came; // faded counts by class, the worthiest first
+    private int[] rank; // of a track among tracks
     private double part = 1, admitted, rejected, pressure, usedLately;
 
+    /** One for a proxy, with its figures as {@link #figures} takes them. */
+    public Admission(double[] importance, double[] pace, long mostAge, long comeBack, long maxComeBack, long seed) {
+        random = new Random(seed);
+        figures(importance, pace, mostAge, comeBack, maxComeBack);
+    }
+
     /**
-     * One for a proxy.
+     * Its figures, for all that comes from now on; the part that is admitted and the level stay as they are.
      *
      * @param importance   of each track
-     * @param customerPace this proxy's part of each customer's share, queries a second
-     * @param mostAgeNs    how long things may wait in the proxy: a part of the shortest SLO time
-     * @param comeBackNs   how long a rejected client is to stay away without pressure
-     * @param maxComeBackNs how long it may be asked to at most; zero where clients are told nothing
+     * @param pace         this proxy's part of each customer's share, queries a second
+     * @param mostAge      how long things may wait in the proxy, in nanoseconds: a part of the shortest SLO time
+     * @param comeBack     how long a rejected client is to stay away without pressure, in nanoseconds
+     * @param maxComeBack  how long it may be asked to at most; zero where clients are told nothing
      */
-    public Admission(double[] importance, double[] customerPace, long mostAgeNs, long comeBackNs, long maxComeBackNs,
-                     long seed) {
+    public void figures(double[] importance, double[] pace, long mostAge, long comeBack, long maxComeBack) {
         worth = importance.clone();
         best = Arrays.stream(worth).max().orElse(0);
-        this.customerPace = customerPace.clone();
-        customerSent = new double[customerPace.length];
-        this.mostAgeNs = mostAgeNs;
-        this.comeBackNs = comeBackNs;
-        this.maxComeBackNs = maxComeBackNs;
-        random = new Random(seed);
+        customerPace = pace.clone();
+        customerSent = Arrays.copyOf(customerSent, pace.length);
+        mostAgeNs = mostAge;
+        comeBackNs = comeBack;
+        maxComeBackNs = maxComeBack;
         double[] order = Arrays.stream(worth).distinct().sorted().toArray();
         rank = new int[worth.length];
         for (int i = 0; i < worth.length; i++) {
             rank[i] = order.length - 1 - Arrays.binarySearch(order, worth[i]);
         }
+        int before = classes;
         classes = 2 * Math.max(1, order.length); // within shares by worth, then beyond them by worth
-        came = new double[classes];
+        came = classes == before ? came : new double[classes];
     }
 
     public Level level() {
--- a/core/src/main/java/spurroad/model/Decisions.java
+++ b/core/src/main/java/spurroad/model/Decisions.java
@@ -22,6 +22,8 @@
     public final List<NodeId> closes = new ArrayList<>();
     /** Whether to subscribe to the list now. */
     public boolean follow;
+    /** Whether what staff are told of nodes may have changed. */
+    public boolean standings;
     /** When the module wants to be called next; Long.MAX_VALUE for never. */
     public long wakeNs = Long.MAX_VALUE;
 
@@ -32,6 +34,7 @@
         probes.clear();
         closes.clear();
         follow = false;
+        standings = false;
         wakeNs = Long.MAX_VALUE;
     }
 }
--- /dev/null
+++ b/proxy/src/main/java/spurroad/operation/Answer.java
@@ -0,0 +1,34 @@
+package spurroad.operation;
+
+import java.nio.charset.StandardCharsets;
+
+/** What one call is told: a status of HTTP and a text. */
+public record Answer(int status, String text) {
+    static Answer yes(String text) {
+        return new Answer(200, text);
+    }
+
+    /** A fault of the call; the text says what was expected. */
+    static Answer badCall(String expected) {
+        return new Answer(400, expected + "\n");
+    }
+
+    static Answer notYet(String why) {
+        return new Answer(503, why + "\n");
+    }
+
+    byte[] bytes() {
+        String reason = switch (status) {
+            case 200 -> "OK";
+            case 400 -> "Bad Request";
+            case 404 -> "Not Found";
+            case 405 -> "Method Not Allowed";
+            case 431 -> "Request Header Fields Too Large";
+            default -> "Service Unavailable";
+        };
+        byte[] body = text.getBytes(StandardCharsets.UTF_8);
+        String head = "HTTP/1.1 " + status + " " + reason + "\r\nContent-Type: text/plain; charset=utf-8\r\nContent-Length: "
+            + body.length + "\r\nConnection: close\r\n\r\n";
+        return (head + text).getBytes(StandardCharsets.UTF_8);
+    }
+}
--- /dev/null
+++ b/proxy/src/main/java/spurroad/operation/Caller.java
@@ -0,0 +1,101 @@
+package spurroad.operation;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import spurroad.protocol.ByteSource;
+import spurroad.transport.Connection;
+import spurroad.transport.Loop;
+
+/** One connection with one call; all of it is the loop's of the second address. */
+final class Caller implements Connection.User {
+    private static final long PATIENCE_NS = 2_000_000_000L; // ns; a call that is not there whole by then is none
+    private static final long ANSWER_NS = 800_000_000L; // ns; an answer is due within 1 s
+    private static final long TAKING_NS = 500_000_000L; // ns; for the answer to arrive before the close
+    private static final int OVER_LONG = 431; // status; a head over its bounds
+
+    private final AdminServer server;
+    private final Loop loop;
+    private final Connection connection;
+    private final ByteSource in = new ByteSource();
+    private Loop.Alarm alarm;
+    private boolean called, answered, over;
+    final long since;
+
+    Caller(AdminServer server, Loop loop, Connection connection) {
+        this.server = server;
+        this.loop = loop;
+        this.connection = connection;
+        since = loop.now();
+    }
+
+    void open() {
+        alarm = loop.after(PATIENCE_NS, this::close);
+        connection.open(this);
+    }
+
+    /** Whether it has not sent a whole call. */
+    boolean silent() {
+        return !called;
+    }
+
+    @Override
+    public void connected() { }
+
+    @Override
+    public void came(ByteBuffer bytes) {
+        if (called) {
+            bytes.position(bytes.limit()); // a close upon unread bytes would overtake the answer
+            return;
+        }
+        in.feed(bytes);
+        try {
+            Call call = in.message(Call::read);
+            if (call == null) {
+                return;
+            }
+            called = true;
+            if (in.available() > 0) {
+                answer(Answer.badCall("expected one call to a connection"));
+                return;
+            }
+            alarm.cancel();
+            alarm = loop.after(ANSWER_NS, () -> answer(Answer.notYet("not confirmed in time, call again")));
+            server.called(call, given -> loop.tell(() -> answer(given)));
+        } catch (IOException e) {
+            called = true;
+            answer(e.getMessage().startsWith("a line of over") ? new Answer(OVER_LONG, "expected lines of "
+                + Call.MOST_LINE + " bytes at most\n") : Answer.badCall(e.getMessage()));
+        }
+    }
+
+    private void answer(Answer given) {
+        if (!answered && !over) {
+            answered = true;
+            alarm.cancel();
+            connection.write(given.bytes());
+            if (connection.isDrained()) {
+                connection.endOutput();
+            }
+            alarm = loop.after(TAKING_NS, this::close);
+        }
+    }
+
+    @Override
+    public void drained() {
+        connection.endOutput();
+    }
+
+    @Override
+    public void ended() {
+        close();
+    }
+
+    void close() {
+        if (!over) {
+            over = true;
+            alarm.cancel();
+            connection.close();
+            server.ended(this);
+        }
+    }
+}
--- /dev/null
+++ b/proxy/src/main/java/spurroad/operation/Calls.java
@@ -0,0 +1,58 @@
+package spurroad.operation;
+
+import java.util.function.BooleanSupplier;
+import java.util.function.Consumer;
+
+/** What each call does: the one place that knows the paths. Who may call is not asked here. */
+public final class Calls {
+    /** Takes a cache node out of use, or gives it back, and tells from any thread whether such a one has been listed. */
+    public interface NodesByHand {
+        void stands(String id, boolean out, Consumer<Boolean> known);
+    }
+
+    private static final String NODES = "/cache-nodes/", OUT = "/maint", BACK = "/ready";
+    private static final String PATHS = "expected /healthcheck, /stats, /cache-nodes/ID/maint or /cache-nodes/ID/ready";
+
+    private final BooleanSupplier serving;
+    private final Figures figures;
+    private final NodesByHand nodes;
+
+    /** With whether this process can serve. */
+    public Calls(BooleanSupplier serving, Figures figures, NodesByHand nodes) {
+        this.serving = serving;
+        this.figures = figures;
+        this.nodes = nodes;
+    }
+
+    /** Carries a call out; its answer may come later, from any thread, once. */
+    void called(Call call, Consumer<Answer> answer) {
+        String path = call.path().split("[?]", 2)[0];
+        if (path.equals("/healthcheck") || path.equals("/stats")) {
+            answer.accept(!call.method().equals("GET") ? new Answer(405, "expected GET " + path + "\n")
+                : path.equals("/stats") ? Answer.yes(figures.lines())
+                : serving.getAsBoolean() ? Answer.yes("serving\n") : Answer.notYet("not serving yet"));
+        } else if (path.startsWith(NODES) && (path.endsWith(OUT) || path.endsWith(BACK))) {
+            int end = path.lastIndexOf('/');
+            String id = end < NODES.length() ? null : Call.decoded(path.substring(NODES.length(), end));
+            if (!call.method().equals("POST")) {
+                answer.accept(new Answer(405, "expected POST " + path + "\n"));
+            } else if (id == null || id.isEmpty() || id.indexOf('/') >= 0) {
+                answer.accept(Answer.badCall("expected the id of a cache node between /cache-nodes/ and the last /"));
+            } else {
+                node(id, path.endsWith(OUT), answer);
+            }
+        } else {
+            answer.accept(new Answer(404, PATHS + "\n"));
+        }
+    }
+
+    private void node(String id, boolean out, Consumer<Answer> answer) {
+        if (!serving.getAsBoolean()) {
+            answer.accept(Answer.notYet("not serving yet"));
+            return;
+        }
+        nodes.stands(id, out, known -> answer.accept(known
+            ? Answer.yes(id + (out ? " gets nothing new\n" : " is used again\n"))
+            : new Answer(404, "expected the id of a cache node that the list has named, not " + id + "\n")));
+    }
+}
--- a/proxy/src/main/java/spurroad/program/Main.java
+++ b/proxy/src/main/java/spurroad/program/Main.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.logging.Handler;
 import java.util.logging.Logger;
+import spurroad.operation.AdminServer;
 import spurroad.start.FaultyKeyException;
 import spurroad.start.ProxyStart;
 import spurroad.wirehost.WireException;
@@ -55,9 +56,13 @@
                 log.event("starting", start.name); // the first line takes longest, and no query is to wait for it
                 Threads threads = new Threads(log);
                 Clock clock = new Clock();
+                AdminServer admin = start.admin == null ? null : admin(start, threads, log, clock);
                 new Rehearsal(start).play(threads, log, clock);
                 Service service = new Service(start, threads, log, clock);
                 up.complete(service);
+                if (admin != null) {
+                    admin.serves(service.calls());
+                }
                 Runtime.getRuntime().addShutdownHook(new Thread(() -> shutDown(service)));
             } catch (IOException e) {
                 end("spurroad: can't listen at " + start.listen + ": " + e.getMessage(), FAILED);
@@ -68,6 +73,15 @@
         new CountDownLatch(1).await(); // its threads serve until the process is told to end
     }
 
+    private static AdminServer admin(ProxyStart start, Threads threads, EventLog log, Clock clock) {
+        try {
+            return new AdminServer(start.admin, threads, log, clock);
+        } catch (IOException e) {
+            end("spurroad: can't listen at " + start.admin + " for calls: " + e.getMessage(), FAILED);
+            throw new IllegalStateException(e);
+        }
+    }
+
     /** What serving begins with, and no more: the build has the classes that it loads put into an archive. */
     private static void rehearse() throws InterruptedException {
         EventLog log = new EventLog();
--- a/proxy/src/main/java/spurroad/program/Service.java
+++ b/proxy/src/main/java/spurroad/program/Service.java
@@ -2,11 +2,19 @@
 
 import java.io.IOException;
 import java.util.List;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Consumer;
 import java.util.function.Supplier;
+import java.util.stream.Stream;
+import spurroad.model.NodeId;
+import spurroad.operation.Calls;
+import spurroad.operation.Figures;
+import spurroad.protocol.Members;
 import spurroad.routing.Clients;
 import spurroad.routing.Decider;
 import spurroad.routing.Dialer;
 import spurroad.routing.ListWatch;
+import spurroad.routing.Results;
 import spurroad.start.FaultyKeyException;
 import spurroad.start.ProxyStart;
 import spurroad.transport.Clock;
@@ -32,6 +40,9 @@
     private final Listener listener;
     private final Clients clients;
     private final ListWatch list;
+    private final Decider decider;
+    private final Clock clock;
+    private final AtomicLong applied = new AtomicLong(), rejected = new AtomicLong(); // files read at SIGHUP
     private ProxyStart start;
 
     /** Starts it; it takes queries once this returns. */
@@ -40,9 +51,10 @@
         this.log = log;
         Descriptors descriptors = new Descriptors(start.places);
         Loop loop = new Loop(log, clock);
-        Decider decider = new Decider(start, threads, loop, log, clock, descriptors, Dialer.TCP, REST_NS);
+        this.clock = clock;
+        decider = new Decider(start, threads, loop, log, clock, descriptors, Dialer.TCP, REST_NS);
         clients = new Clients(start, loop, log, decider, descriptors.leftForClients());
-        listener = new Listener(start.listen, loop, descriptors, clients, log);
+        listener = new Listener(start.listen, loop, descriptors.forClients(), clients, log);
         list = new ListWatch(start, threads, loop, log, decider);
         decider.follows(list);
         decider.listed(start.known);
@@ -57,20 +69,52 @@
         return listener.port();
     }
 
-    /** Reads what it is started with again; a new address of discovery counts at once, a faulty file not at all. */
+    /** What calls at the second address do. */
+    public Calls calls() {
+        return new Calls(() -> true, figures(), this::stands);
+    }
+
+    /** Takes a cache node out of use, or gives it back; tells whether such a one has been listed. */
+    void stands(String id, boolean out, Consumer<Boolean> known) {
+        decider.byHand(new NodeId(Members.hash(id)), out, known);
+    }
+
+    Figures figures() {
+        Results results = decider.results();
+        return new Figures().several(() -> results.byClass().entrySet().stream()
+                .flatMap(c -> Stream.of(result(c.getKey(), "succeeded", c.getValue().succeeded()),
+                    result(c.getKey(), "declined", c.getValue().declined()),
+                    result(c.getKey(), "aborted", c.getValue().aborted()))).toList())
+            .counter("forwards", results::forwards)
+            .gauge("outstanding", results::outstanding)
+            .gauge("discovered", () -> decider.standings().listed())
+            .gauge("ejected", () -> decider.standings().avoided(clock.now()))
+            .counter("sighup_applied", applied::get)
+            .counter("sighup_rejected", rejected::get);
+    }
+
+    private static Figures.Figure result(String track, String end, long count) {
+        return new Figures.Figure("results." + track + "." + end, count, true);
+    }
+
+    /** Reads what it is started with again; what it holds counts at once and whole, or not at all if it is faulty. */
     public synchronized void reload(Supplier<ProxyStart> file) {
         try {
             ProxyStart next = file.get();
-            List<String> kept = start.changedBesidesDiscovery(next);
+            start.checkSuccessor(next);
+            List<String> kept = start.changedForGood(next);
             if (!kept.isEmpty()) {
                 log.event("changes that need a new start", String.join(", ", kept));
             }
             if (!next.discovery.equals(start.discovery)) {
                 list.moved(next.discovery);
             }
-            log.event("configuration read again", "discovery at " + next.discovery);
+            log.event("configuration read again", "discovery at " + next.discovery + ", classes " + next.figures.tracks);
+            clients.deployed(next.figures);
             start = next;
+            applied.incrementAndGet();
         } catch (FaultyKeyException e) {
+            rejected.incrementAndGet();
             log.trouble("configuration kept, the new one is faulty", e.getMessage());
         }
     }
--- a/proxy/src/main/java/spurroad/routing/ClientConnection.java
+++ b/proxy/src/main/java/spurroad/routing/ClientConnection.java
@@ -31,6 +31,8 @@
     /** The place of one command's answer in the order of answers. */
     private static final class Slot {
         private Query query;
+        private Results.OfClass results; // of the query's class; null where it is no query
+        private Results.End end;
         private long queryRoom, answerRoom;
         private byte[] answer;
         private boolean last;
@@ -167,21 +169,24 @@
         if (refusal != null) {
             return fault(slot, refusal, false);
         }
+        if (!guest && clients.open.containsKey(command.id())) {
+            return unusable("CLIENT_ERROR request id in use");
+        }
+        slot.results = clients.results(track);
+        slot.results.take();
+        slot.end = Results.End.DECLINED; // unless it is let in
         if (guest) {
             return clients.gate.busy;
         }
         if (!clients.gate.admits(track, customer)) {
             return clients.gate.rejection();
         }
-        if (clients.open.containsKey(command.id())) {
-            return unusable("CLIENT_ERROR request id in use");
-        }
         long room = Clients.QUERY_BYTES + command.value.length;
         if (!clients.room.take(room)) {
             clients.log.trouble("no room for a query", this);
             return clients.gate.busy;
         }
-        Query query = new Query(this, command, new TrackId(track), new CustomerId(customer),
+        Query query = new Query(this, command, new TrackId(track), slot.results, new CustomerId(customer),
             clients.loop.arrivedAt(), clients.waitNs(command.waitMs()));
         slot.queryRoom = room;
         slot.query = query;
@@ -193,10 +198,11 @@
     // ---- answers
 
     /** Told by the decider: the one final answer of a query. */
-    void answer(Query q, byte[] answer) {
+    void answer(Query q, byte[] answer, Results.End end) {
         for (Slot slot : slots) {
             if (slot.query == q) {
                 slot.answer = answer;
+                slot.end = end;
                 slot.answerRoom = answer.length;
                 clients.owe(answer.length);
             }
@@ -233,6 +239,7 @@
         Slot slot = writing;
         writing = null;
         writingSince = Long.MAX_VALUE;
+        ended(slot, slot.end);
         giveRoom(slot);
         idleSince = clients.now();
         answered = true;
@@ -256,6 +263,13 @@
         clients.loop.after(HOLDING_NS, this::close);
     }
 
+    private static void ended(Slot slot, Results.End end) {
+        if (slot.results != null) {
+            slot.results.ended(end);
+            slot.results = null;
+        }
+    }
+
     private void giveRoom(Slot slot) {
         clients.room.give(slot.queryRoom);
         clients.room.give(slot.answerRoom);
@@ -276,9 +290,11 @@
                     clients.decider.left(slot.query);
                 }
             }
+            ended(slot, Results.End.LEFT);
             giveRoom(slot);
         }
         if (writing != null) {
+            ended(writing, Results.End.LEFT);
             giveRoom(writing);
         }
         slots.clear();
--- a/proxy/src/main/java/spurroad/routing/Clients.java
+++ b/proxy/src/main/java/spurroad/routing/Clients.java
@@ -9,6 +9,7 @@
 import spurroad.model.Effect;
 import spurroad.protocol.MetaCommand;
 import spurroad.start.ProxyStart;
+import spurroad.start.StartFigures;
 import spurroad.transport.Connection;
 import spurroad.transport.EventLog;
 import spurroad.transport.Listener;
@@ -25,7 +26,6 @@
     private static final long TIDY_NS = 100_000_000L; // ns; between looks at who says nothing; some microseconds each
     private static final long MIB = 1 << 20, NS_PER_MS = 1_000_000L;
 
-    final ProxyStart start;
     final Loop loop;
     final EventLog log;
     final Decider decider;
@@ -35,20 +35,23 @@
     private volatile int count; // of them, for other threads
     /** Queries whose final answer has not gone out, by their ids: no two at a time may bear the same. */
     final Map<String, Query> open = new HashMap<>();
-    private final Map<String, Integer> tracks, customers; // their numbers by name
+    private final Results results;
+    private StartFigures figures; // the loop's
+    private List<Results.OfClass> counts = List.of(); // by track
+    private Map<String, Integer> tracks, customers; // their numbers by name
     private final int places;
     private volatile boolean ending;
+    private volatile long statementTimeoutNs; // the loop's; for other threads
     private volatile long longestWaitMs; // the loop's; for other threads
     private volatile long answeredBy = Long.MAX_VALUE;
 
     public Clients(ProxyStart start, Loop loop, EventLog log, Decider decider, int places) {
-        this.start = start;
         this.loop = loop;
         this.log = log;
         this.decider = decider;
         this.places = places;
-        tracks = numbered(start.figures.tracks);
-        customers = numbered(start.figures.customers);
+        results = decider.results();
+        take(start.figures);
         long memory = Math.min(start.memoryMb * MIB / ROOM_SHARE, Runtime.getRuntime().maxMemory() / HEAP_SHARE);
         room = new Room(Math.min(memory, (long) start.figures.mostOpen * QUERY_BYTES));
         gate = new Gate(start, loop, log, room, decider);
@@ -56,6 +59,31 @@
         loop.tell(this::tidy);
     }
 
+    private void take(StartFigures next) {
+        figures = next;
+        tracks = numbered(next.tracks);
+        customers = numbered(next.customers);
+        counts = next.tracks.stream().map(results::of).toList();
+        statementTimeoutNs = next.statementTimeoutNs;
+    }
+
+    /**
+     * Puts other settings in force, between two commands: what is read from now on is numbered by them, and the module
+     * hears of them between what was numbered before and after.
+     */
+    public void deployed(StartFigures next) {
+        loop.tell(() -> {
+            take(next);
+            gate.figures(next.deployment);
+            decider.deployed(next);
+        });
+    }
+
+    /** The counts of a track. */
+    Results.OfClass results(int track) {
+        return counts.get(track);
+    }
+
     private static Map<String, Integer> numbered(List<String> names) {
         Map<String, Integer> numbers = new HashMap<>();
         for (int i = 0; i < names.size(); i++) {
@@ -98,7 +126,7 @@
         if (customer < 0 && !customers.isEmpty() && c.has("t")) {
             return "CLIENT_ERROR unknown tenant";
         }
-        boolean marked = start.figures.deployment.tracks().get(track).effect() == Effect.DEDUPLICATED;
+        boolean marked = figures.deployment.tracks().get(track).effect() == Effect.DEDUPLICATED;
         return marked && !c.has("k") ? "CLIENT_ERROR no idempotency key" : null;
     }
 
@@ -161,7 +189,7 @@
 
     /** The longest that a client waits for an answer: as told, or as seen since the start; in nanoseconds. */
     public long longestWaitNs() {
-        return Math.max(longestWaitMs * NS_PER_MS, start.figures.statementTimeoutNs);
+        return Math.max(longestWaitMs * NS_PER_MS, statementTimeoutNs);
     }
 
     public int count() {
--- a/proxy/src/main/java/spurroad/routing/Decider.java
+++ b/proxy/src/main/java/spurroad/routing/Decider.java
@@ -3,9 +3,11 @@
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Consumer;
 import spurroad.Balance;
 import spurroad.admission.Level;
 import spurroad.model.Decisions;
@@ -14,12 +16,14 @@
 import spurroad.model.Outcome;
 import spurroad.model.Phase;
 import spurroad.model.QueryId;
+import spurroad.model.Standings;
 import spurroad.protocol.Members;
 import spurroad.protocol.Members.Member;
 import spurroad.protocol.MetaCommand;
 import spurroad.protocol.MetaReply;
 import spurroad.protocol.Reply;
 import spurroad.start.ProxyStart;
+import spurroad.start.StartFigures;
 import spurroad.transport.Clock;
 import spurroad.transport.Descriptors;
 import spurroad.transport.EventLog;
@@ -60,10 +64,10 @@
         }
     }
 
-    private record Answered(Query q, byte[] answer) implements Runnable {
+    private record Answered(Query q, byte[] answer, Results.End end) implements Runnable {
         @Override
         public void run() {
-            q.client.answer(q, answer);
+            q.client.answer(q, answer, end);
         }
     }
 
@@ -79,12 +83,13 @@
     private static final int AT_ONCE = 32; // messages; nothing decided waits for more than a millisecond's work
     private static final int MAILBOX = 1 << 16; // messages; a dozen for each query that there is room for
     private static final long NS_PER_MS = 1_000_000L, NS_PER_US = 1_000L;
+    private static final int MOST_LISTED = 8192; // ids; that staff may name, those of a year of releases
     private static final int MODULE_FAILED = 70; // exit code; the usual one for a fault of the program itself
 
     private final Balance balance;
     private final Decisions decisions = new Decisions();
     private final Mailbox mailbox = new Mailbox(MAILBOX);
-    private final ProxyStart start;
+    private final Results results = new Results();
     private final Threads threads;
     private final Loop loop;
     private final Clock clock;
@@ -96,6 +101,10 @@
     private final Stalls stalls = new Stalls();
     private final List<Runnable> fromLoop = new ArrayList<>(); // the loop's: for the module at the end of its turn
     private List<Runnable> forLoop = new ArrayList<>(); // the module's: for the loop after some messages
+    private final Map<NodeId, Boolean> everListed = new LinkedHashMap<>(); // whether as a cache node
+    private final Set<NodeId> byHand = new HashSet<>();
+    private StartFigures figures;
+    private volatile Standings standings = new Standings(0, new long[0]);
     private Follow follow;
     private Gate gate;
     private long agedNs;
@@ -106,7 +115,7 @@
 
     public Decider(ProxyStart start, Threads threads, Loop loop, EventLog log, Clock clock, Descriptors descriptors,
                    Dialer dialer, long restNs) {
-        this.start = start;
+        figures = start.figures;
         this.threads = threads;
         this.loop = loop;
         this.clock = clock;
@@ -115,7 +124,7 @@
         around = new NodeActor.Surroundings(loop, log, descriptors, start.figures.connectNs,
             start.figures.deployment.idleNs(), restNs, dialer,
             this::placesNeeded,
-            (e, reply) -> fromLoop.add(new Ended(this, e, reply)));
+            (e, reply) -> fromLoop.add(new Ended(this, e, reply)), results::forwarded);
         loop.eachTurn(this::handOver);
     }
 
@@ -198,7 +207,7 @@
         aged++;
         MetaCommand c = q.command;
         // the answer's way back counts too: it is to leave a tick before the client's time is over
-        long budget = q.waitNs - (now - q.takenAt) - start.figures.deployment.tickNs();
+        long budget = q.waitNs - (now - q.takenAt) - figures.deployment.tickNs();
         balance.arrived(now, q.id, q.track, q.customer, Members.key(c.key()),
             c.kind == MetaCommand.Kind.WRITE, c.hintUs() * NS_PER_US, Math.max(0, budget), fresh());
         carryOut();
@@ -243,7 +252,7 @@
             if (reply.outcome() == Outcome.COMPLETED && !q.over) {
                 q.over = true;
                 tally.completed();
-                forLoop.add(new Answered(q, reply.answer()));
+                forLoop.add(new Answered(q, reply.answer(), Results.End.SUCCEEDED));
             }
             balance.ended(clock.now(), q.id, e.number, reply.outcome(), reply.note(), reply.load(), q.over,
                 stalls.total() - e.stalledNs, fresh());
@@ -281,9 +290,10 @@
         mailbox.tell(() -> {
             Set<NodeId> named = new HashSet<>();
             for (Member m : list.members()) {
+                remember(m);
                 if (m.entry().phase() != Phase.GONE) {
                     if (m.entry().startedNs() > 0) {
-                        coldUntil = Math.max(coldUntil, m.entry().startedNs() + start.figures.deployment.coldNs());
+                        coldUntil = Math.max(coldUntil, m.entry().startedNs() + figures.deployment.coldNs());
                     }
                     named.add(m.entry().id());
                     node(m);
@@ -306,11 +316,72 @@
         });
     }
 
+    // ---- told by staff and by the program
+
+    /** What became of queries; any thread may read it. */
+    public Results results() {
+        return results;
+    }
+
+    /** What there is to tell of cache nodes, as of the module's last change to it; from any thread. */
+    public Standings standings() {
+        return standings;
+    }
+
+    /** Other settings, told on the loop: all that arrived before has been taken under the former ones. */
+    void deployed(StartFigures next) {
+        fromLoop.add(() -> {
+            figures = next;
+            balance.deployed(clock.now(), next.deployment, fresh());
+            carryOut();
+        });
+    }
+
+    /**
+     * Takes a cache node out of use, or gives it back. Tells, on the loop, whether such a cache node has been listed;
+     * by then nothing new begins at one that is out of use: not what waits for a connection to it either.
+     */
+    public void byHand(NodeId id, boolean out, Consumer<Boolean> done) {
+        mailbox.tell(() -> {
+            boolean known = Boolean.TRUE.equals(everListed.get(id));
+            if (known) {
+                stands(id, out);
+            }
+            forLoop.add(() -> done.accept(known));
+        });
+    }
+
+    private void stands(NodeId id, boolean out) {
+        if (out) {
+            byHand.add(id);
+        } else {
+            byHand.remove(id);
+        }
+        balance.byHand(clock.now(), id, out, fresh());
+        carryOut();
+        NodeActor n = nodes.get(id);
+        if (n != null) {
+            forLoop.add(() -> n.held(out));
+        }
+    }
+
+    private void remember(Member m) {
+        everListed.remove(m.entry().id()); // the one listed last is forgotten last
+        everListed.put(m.entry().id(), !m.entry().kind().equals(figures.deployment.originKind()));
+        if (everListed.size() > MOST_LISTED) {
+            everListed.remove(everListed.keySet().iterator().next());
+        }
+    }
+
     private void node(Member m) {
-        boolean origin = m.entry().kind().equals(start.figures.deployment.originKind());
+        boolean origin = m.entry().kind().equals(figures.deployment.originKind());
         NodeActor n = nodes.get(m.entry().id());
         if (n == null) {
-            nodes.put(m.entry().id(), new NodeActor(around, m, origin));
+            NodeActor added = new NodeActor(around, m, origin);
+            nodes.put(m.entry().id(), added);
+            if (byHand.contains(m.entry().id())) {
+                forLoop.add(() -> added.held(true));
+            }
         } else {
             forLoop.add(() -> n.listed(m, origin));
         }
@@ -332,6 +403,9 @@
 
     private void carryOut() {
         wakeNs = decisions.wakeNs;
+        if (decisions.standings) {
+            standings = balance.standings();
+        }
         long now = clock.now();
         String line = tally.due(now, stalls.total());
         if (line != null) {
@@ -356,7 +430,7 @@
                 q.over = true;
                 tally.answered(a.rejected());
                 byte[] answer = a.rejected() ? MetaReply.rejected(a.comeBackNs() / NS_PER_MS) : MetaReply.aborted();
-                forLoop.add(new Answered(q, answer));
+                forLoop.add(new Answered(q, answer, a.rejected() ? Results.End.DECLINED : Results.End.ABORTED));
             }
             forget(q);
         }
@@ -366,7 +440,7 @@
                 mailbox.tell(() -> unknown(id)); // gone since the module last heard of it
                 continue;
             }
-            Errand probe = new Errand(null, 0, n, now + 2 * start.figures.connectNs, stalls.total());
+            Errand probe = new Errand(null, 0, n, now + 2 * figures.connectNs, stalls.total());
             forLoop.add(() -> n.begin(probe));
         }
         for (NodeId id : decisions.closes) {
--- a/proxy/src/main/java/spurroad/routing/Gate.java
+++ b/proxy/src/main/java/spurroad/routing/Gate.java
@@ -25,7 +25,7 @@
     private static final long USUAL_SLO_NS = 1_000_000_000L; // ns; where no track is told
 
     /** The answer to a query for which the proxy itself has no place: nothing was sent, and when to come again. */
-    final byte[] busy;
+    byte[] busy;
     private final Loop loop;
     private final EventLog log;
     private final Room room;
@@ -44,13 +44,18 @@
         this.room = room;
         this.decider = decider;
         cores = start.cores;
-        Deployment figures = start.figures.deployment;
+        admission = new Admission(new double[0], new double[0], 0, 0, 0, start.seed);
+        figures(start.figures.deployment);
+        loop.tell(this::interval);
+    }
+
+    /** The figures of the deployment, for what comes from now on. */
+    void figures(Deployment figures) {
         long slo = figures.shortestSloNs(USUAL_SLO_NS), back = (long) (COME_BACK * slo);
         busy = MetaReply.rejected(Math.min(figures.maxComeBackNs(), back) / NS_PER_MS);
-        admission = new Admission(figures.tracks().stream().mapToDouble(Track::importance).toArray(),
+        admission.figures(figures.tracks().stream().mapToDouble(Track::importance).toArray(),
             figures.customerPace().stream().mapToDouble(Double::doubleValue).toArray(),
-            (long) (AGE_SHARE * slo), back, figures.maxComeBackNs(), start.seed);
-        loop.tell(this::interval);
+            (long) (AGE_SHARE * slo), back, figures.maxComeBackNs());
     }
 
     /** Whether a query of a track and a customer is taken in, both by their numbers, an unknown customer as -1. */
--- a/proxy/src/main/java/spurroad/routing/NodeActor.java
+++ b/proxy/src/main/java/spurroad/routing/NodeActor.java
@@ -21,7 +21,7 @@
 final class NodeActor {
     /** What all node actors share. */
     record Surroundings(Loop loop, EventLog log, Descriptors descriptors, long connectNs, long idleNs, long restNs,
-                        Dialer dialer, Runnable closeIdleEverywhere, Ended ended) { }
+                        Dialer dialer, Runnable closeIdleEverywhere, Ended ended, Runnable forwarded) { }
 
     /** Hears how each errand ended. */
     interface Ended {
@@ -46,7 +46,7 @@
     private Dialect dialect;
     private Member member;
     private int generation;
-    private boolean gone, idleWatched;
+    private boolean gone, held, idleWatched;
 
     NodeActor(Surroundings around, Member member, boolean origin) {
         this.around = around;
@@ -94,6 +94,18 @@
         closeIdle();
     }
 
+    /** Nothing that has not begun to be written begins while it is held: staff have taken it out of use. */
+    void held(boolean on) {
+        held = on;
+        if (on) {
+            closeIdle();
+        }
+    }
+
+    boolean held() {
+        return held;
+    }
+
     void closeIdle() {
         while (!idle.isEmpty()) {
             idle.poll().close();
@@ -127,6 +139,10 @@
         if (e.ended) {
             return;
         }
+        if (held) {
+            end(e, without(Outcome.NO_CONNECTION));
+            return;
+        }
         NodeConnection c = kept();
         if (c != null) {
             c.errand = e;
@@ -211,12 +227,20 @@
 
     // ---- told by its connections
 
+    /** The last byte of an errand has gone out. */
+    void written(Errand e) {
+        if (!e.written && e.query != null) {
+            around.forwarded.run();
+        }
+        e.written = true;
+    }
+
     void replied(NodeConnection c, Errand e, Reply reply) {
         if (c.closed) {
             return;
         }
         c.errand = null;
-        if (reply.more() && !gone && c.generation == generation) {
+        if (reply.more() && !gone && !held && c.generation == generation) {
             c.idleSince = now();
             idle.addLast(c);
             watchIdle();
--- a/proxy/src/main/java/spurroad/routing/NodeConnection.java
+++ b/proxy/src/main/java/spurroad/routing/NodeConnection.java
@@ -54,7 +54,9 @@
     @Override
     public void connected() {
         alarm.cancel();
-        if (errand != null) {
+        if (errand != null && node.held()) {
+            cut(); // nothing has been written: it goes elsewhere
+        } else if (errand != null) {
             write(errand);
         }
     }
@@ -63,13 +65,15 @@
     void write(Errand e) {
         long waitMs = Math.max(1, (e.until - node.now()) / NS_PER_MS);
         connection.write(dialect.message(e.command(), waitMs));
-        e.written = connection.isDrained() && !connection.closed();
+        if (connection.isDrained() && !connection.closed()) {
+            node.written(e);
+        }
     }
 
     @Override
     public void drained() {
         if (errand != null) {
-            errand.written = true;
+            node.written(errand);
         }
     }
 
--- a/proxy/src/main/java/spurroad/routing/Query.java
+++ b/proxy/src/main/java/spurroad/routing/Query.java
@@ -12,6 +12,7 @@
     final ClientConnection client;
     final MetaCommand command;
     final TrackId track;
+    final Results.OfClass results;
     final CustomerId customer;
     final long takenAt;
     /** For how long it can be worked on, in nanoseconds from then. */
@@ -22,10 +23,12 @@
     int out;
     boolean over;
 
-    Query(ClientConnection client, MetaCommand command, TrackId track, CustomerId customer, long takenAt, long waitNs) {
+    Query(ClientConnection client, MetaCommand command, TrackId track, Results.OfClass results, CustomerId customer,
+          long takenAt, long waitNs) {
         this.client = client;
         this.command = command;
         this.track = track;
+        this.results = results;
         this.customer = customer;
         this.takenAt = takenAt;
         this.waitNs = waitNs;
--- a/proxy/src/main/java/spurroad/start/Figures.java
+++ b/proxy/src/main/java/spurroad/start/Figures.java
@@ -80,6 +80,23 @@
         throw new FaultyKeyException("setting " + path + " is not a number");
     }
 
+    /** Checks a number, where it is given. */
+    void above(String path, double least) {
+        if (values.containsKey(path) && number(path, 0) <= least) {
+            throw new FaultyKeyException("setting " + path + " is not over " + (long) least);
+        }
+    }
+
+    /** Checks values that are true or false, where they are given. */
+    void flags(String... paths) {
+        for (String path : paths) {
+            String value = values.getOrDefault(path, "true");
+            if (!value.equals("true") && !value.equals("false")) {
+                throw new FaultyKeyException("setting " + path + " is neither true nor false");
+            }
+        }
+    }
+
     long time(String path, long otherwise) {
         return (long) (number(path, otherwise) * NS_PER_US);
     }
--- a/proxy/src/main/java/spurroad/start/ProxyStart.java
+++ b/proxy/src/main/java/spurroad/start/ProxyStart.java
@@ -4,7 +4,9 @@
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
@@ -22,16 +24,19 @@
     private static final double LEAST_MEMORY_MB = 64; // MiB; the virtual machine alone takes 45
     private static final double LEAST_SOCKETS = 64; // descriptors; fewer leave none for clients
     private static final int OWN_SOCKETS = 32; // descriptors; the virtual machine's: 8 were seen, and room
+    private static final int ADMIN_SOCKETS = 32; // descriptors; of the second address: its callers and what hears them
     private static final double OWN_MB = 45; // MiB; the virtual machine at rest
     private static final double HEAP_SHARE = 0.22; // of the memory: queries may hold an eighth, and their garbage
     private static final double PLACE_MB = 0.08; // MiB; a connection with its thread: 77 KiB were seen
     private static final int LEAST_PLACES = 32; // connections; with less memory we hope rather than serve nobody
 
-    private static final Set<String> TOLD_ANEW = Set.of("discovery", "seed", "known"); // keys; new with each file
+    private static final Set<String> TOLD_ANEW = Set.of("discovery", "seed", "known", "admin_addr"); // keys; new with each file
 
     public final String name;
     public final InetSocketAddress listen;
     public final InetSocketAddress discovery;
+    /** Where calls of staff are heard; null where nothing listens for them. */
+    public final InetSocketAddress admin;
     public final long seed;
     public final int memoryMb;
     /** How much of a core the process gets. */
@@ -49,13 +54,17 @@
             throw new FaultyKeyException("BALANCER_CONFIG is not set: expected the path of a JSON file");
         }
         try {
-            return new ProxyStart(Files.readString(Path.of(path)));
+            return new ProxyStart(Files.readString(Path.of(path)), environment.get("BALANCER_ADMIN_ADDR"));
         } catch (IOException e) {
             throw new FaultyKeyException("BALANCER_CONFIG: can't read " + path);
         }
     }
 
     public ProxyStart(String text) {
+        this(text, null);
+    }
+
+    private ProxyStart(String text, String adminOfEnvironment) {
         Object json;
         try {
             json = Json.read(text);
@@ -66,13 +75,16 @@
         name = text(whole, "name");
         listen = address(whole, "listen");
         discovery = address(whole, "discovery");
+        boolean told = adminOfEnvironment != null && !adminOfEnvironment.isEmpty();
+        admin = told ? address(Map.of("BALANCER_ADMIN_ADDR", adminOfEnvironment), "BALANCER_ADMIN_ADDR")
+            : whole.containsKey("admin_addr") ? address(whole, "admin_addr") : null;
         seed = seed(whole);
         Map<?, ?> limits = whole.get("limits") == null ? Map.of() : object(whole.get("limits"), "limits");
         memoryMb = (int) number(limits, "limits.", "memory_mb", MEMORY_MB, LEAST_MEMORY_MB);
         cores = number(limits, "limits.", "cores", CORES, LEAST_CORES);
         int sockets = (int) number(limits, "limits.", "sockets", SOCKETS, LEAST_SOCKETS);
         double fitting = (memoryMb * (1 - HEAP_SHARE) - OWN_MB) / PLACE_MB;
-        places = (int) Math.min(sockets - OWN_SOCKETS, Math.max(LEAST_PLACES, fitting));
+        places = (int) Math.min(sockets - OWN_SOCKETS - (admin == null ? 0 : ADMIN_SOCKETS), Math.max(LEAST_PLACES, fitting));
         figures = StartFigures.ofJson(object(whole.get("settings"), "settings"));
         try {
             known = Members.read(object(whole.get("known"), "known"), figures.names);
@@ -81,14 +93,61 @@
         }
     }
 
-    /** The keys whose values differ in another, but for where discovery is: they count from a new start on. */
-    public List<String> changedBesidesDiscovery(ProxyStart other) {
+    /**
+     * The keys whose values differ in another and that count from a new start on: all but where discovery is and
+     * what of the settings {@link StartFigures} has taken up while the proxy runs.
+     */
+    public List<String> changedForGood(ProxyStart other) {
         Set<Object> keys = new TreeSet<>(Comparator.comparing(String::valueOf));
         keys.addAll(whole.keySet());
         keys.addAll(other.whole.keySet());
         keys.removeAll(TOLD_ANEW);
         keys.removeIf(key -> Objects.equals(whole.get(key), other.whole.get(key)));
-        return keys.stream().map(String::valueOf).toList();
+        List<String> changed = new ArrayList<>(keys.stream().filter(k -> !k.equals("settings")).map(String::valueOf).toList());
+        changed.addAll(figures.changedForGood(other.figures));
+        return changed;
+    }
+
+    /**
+     * Checks that another, read while this one counts, holds all that this one does: a key that is gone tells of a file
+     * that was not written whole. Classes and customers may come and go.
+     */
+    public void checkSuccessor(ProxyStart next) {
+        missing("", whole, next.whole);
+    }
+
+    private static void missing(String path, Object held, Object now) {
+        if (held instanceof Map<?, ?> had) {
+            Map<?, ?> has = object(now, path.isEmpty() ? "the whole" : path);
+            String at = path.isEmpty() ? "" : path + ".";
+            had.forEach((key, value) -> {
+                if (!has.containsKey(key)) {
+                    throw new FaultyKeyException(at + key + " is missing, which the settings in force have");
+                }
+                if (!key.equals("known")) {
+                    missing(at + key, value, has.get(key));
+                }
+            });
+        } else if (held instanceof List<?> had) {
+            if (!(now instanceof List<?> has)) {
+                throw new FaultyKeyException(path + " is not a list");
+            }
+            for (int i = 0; i < has.size() && !had.isEmpty(); i++) {
+                missing(path + "." + i, inAll(had), has.get(i));
+            }
+        } else if (held != null && (now == null || now.getClass() != held.getClass())) {
+            throw new FaultyKeyException(path + " is not of the kind that it was");
+        }
+    }
+
+    /** What all entries of a list of objects have; else nothing to hold the next ones to. */
+    private static Object inAll(List<?> entries) {
+        if (!entries.stream().allMatch(Map.class::isInstance)) {
+            return null;
+        }
+        Map<Object, Object> common = new HashMap<>((Map<?, ?>) entries.get(0));
+        entries.forEach(e -> common.keySet().retainAll(((Map<?, ?>) e).keySet()));
+        return common;
     }
 
     private static Map<?, ?> object(Object json, String key) {
--- a/proxy/src/main/java/spurroad/start/StartFigures.java
+++ b/proxy/src/main/java/spurroad/start/StartFigures.java
@@ -1,7 +1,9 @@
 package spurroad.start;
 
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
+import java.util.Set;
 import java.util.stream.IntStream;
 import spurroad.model.DedupScope;
 import spurroad.model.Deployment;
@@ -34,7 +36,9 @@
     }
 
     public static StartFigures ofJson(Object json) {
-        return new StartFigures(Figures.ofJson(json));
+        Figures figures = Figures.ofJson(json);
+        check(figures);
+        return new StartFigures(figures);
     }
 
     private StartFigures(Figures figures) {
@@ -51,6 +55,36 @@
             .mapToLong(i -> figures.time("tracks." + i + ".statementTimeoutUs", 0)).max().orElse(0);
     }
 
+    /** What a file that people or programs write may have wrong, beyond what reading it finds. */
+    private static void check(Figures figures) {
+        figures.above("allowed.mostExecutions", 0);
+        figures.flags("allowed.probes", "allowed.cancel", "allowed.retryAfter");
+        Set<String> names = new HashSet<>();
+        for (int i = 0, n = (int) figures.needNumber("tracks.count"); i < n; i++) {
+            String at = "tracks." + i + ".";
+            if (!names.add(figures.need(at + "name"))) {
+                throw new FaultyKeyException("setting " + at + "name is that of another class");
+            }
+            figures.above(at + "sloTimeUs", 0);
+            figures.above(at + "statementTimeoutUs", 0);
+        }
+    }
+
+    /** What differs in another and counts from a new start on, by its keys. */
+    List<String> changedForGood(StartFigures other) {
+        List<String> changed = new ArrayList<>();
+        if (!names.equals(other.names)) {
+            changed.add("settings.kinds, failureDomains, weights");
+        }
+        if (connectNs != other.connectNs || deployment.idleNs() != other.deployment.idleNs()) {
+            changed.add("settings.allowed.connectTimeoutUs, idleCloseUs");
+        }
+        if (mostOpen != other.mostOpen) {
+            changed.add("settings.allowed.maxOpen");
+        }
+        return changed;
+    }
+
     private static Deployment deployment(Figures figures, List<String> reportColumns) {
         List<Track> read = new ArrayList<>();
         for (int i = 0, n = (int) figures.needNumber("tracks.count"); i < n; i++) {
--- a/proxy/src/main/java/spurroad/transport/Descriptors.java
+++ b/proxy/src/main/java/spurroad/transport/Descriptors.java
@@ -25,6 +25,30 @@
         nodes = new Semaphore(Math.max(1, (int) (free * NODES_MOST)));
     }
 
+    /** The places for clients, as the listener takes them. */
+    public Listener.Places forClients() {
+        return new Listener.Places() {
+            @Override
+            public boolean take() {
+                return takeForClient();
+            }
+
+            @Override
+            public boolean takeForGuest() {
+                return guests.tryAcquire();
+            }
+
+            @Override
+            public void give(boolean guest) {
+                if (guest) {
+                    guests.release();
+                } else {
+                    giveFromClient();
+                }
+            }
+        };
+    }
+
     public boolean takeForClient() {
         boolean may = clients.tryAcquire();
         boolean taken = may && all.tryAcquire();
@@ -34,15 +58,6 @@
         return taken;
     }
 
-    /** One of the few places for clients who are only told that there is no place. */
-    public boolean takeForGuest() {
-        return guests.tryAcquire();
-    }
-
-    public void giveFromGuest() {
-        guests.release();
-    }
-
     public boolean takeForNode() {
         boolean may = nodes.tryAcquire();
         boolean taken = may && all.tryAcquire();
--- a/proxy/src/main/java/spurroad/transport/Listener.java
+++ b/proxy/src/main/java/spurroad/transport/Listener.java
@@ -18,6 +18,15 @@
         void placesNeeded();
     }
 
+    /** The places for those who are accepted; a guest's is one of a few for whom there is no other. */
+    public interface Places {
+        boolean take();
+
+        boolean takeForGuest();
+
+        void give(boolean guest);
+    }
+
     private static final int BACKLOG = 1024; // connections; a burst of clients after a restart
     private static final int AT_ONCE = 16; // connections a turn: those who are connected wait for no crowd
     private static final long ASK_NS = 2_000_000L; // ns; between askings for a place: an idle connection closes in less
@@ -26,7 +35,7 @@
 
     private final ServerSocketChannel socket;
     private final Loop loop;
-    private final Descriptors descriptors;
+    private final Places places;
     private final Door door;
     private final EventLog log;
     private final CountDownLatch ended = new CountDownLatch(1);
@@ -34,10 +43,10 @@
     private SelectionKey key;
     private boolean asked, ending, quiet;
 
-    public Listener(InetSocketAddress at, Loop loop, Descriptors descriptors, Door door, EventLog log)
+    public Listener(InetSocketAddress at, Loop loop, Places places, Door door, EventLog log)
         throws IOException {
         this.loop = loop;
-        this.descriptors = descriptors;
+        this.places = places;
         this.door = door;
         this.log = log;
         socket = ServerSocketChannel.open();
@@ -79,11 +88,11 @@
 
     /** Takes a place; where clients make none it is a guest's: who waits in the system's queue is lost. */
     private Place place() {
-        if (descriptors.takeForClient()) {
+        if (places.take()) {
             return Place.OWN;
         }
         door.placesNeeded();
-        if (asked && descriptors.takeForGuest()) {
+        if (asked && places.takeForGuest()) {
             return Place.GUEST;
         }
         asked = true; // what is closed for it now is free after the loop's next look
@@ -94,13 +103,13 @@
         try {
             SocketChannel s = socket.accept();
             if (s == null) {
-                giveBack(guest);
+                places.give(guest);
                 return false;
             }
-            door.accepted(new Connection(loop, s, s, () -> giveBack(guest)), guest);
+            door.accepted(new Connection(loop, s, s, () -> places.give(guest)), guest);
             return true;
         } catch (IOException e) {
-            giveBack(guest);
+            places.give(guest);
             log.trouble("accepting failed", e.getMessage());
             rest(REST_NS);
             return false;
@@ -118,14 +127,6 @@
         }
     }
 
-    private void giveBack(boolean guest) {
-        if (guest) {
-            descriptors.giveFromGuest();
-        } else {
-            descriptors.giveFromClient();
-        }
-    }
-
     /** Makes it take what the system has accepted, and then close; tells whether it has within the time. */
     public boolean end(long waitMs) throws InterruptedException {
         loop.tell(() -> {
--- /dev/null
+++ b/proxy/src/test/java/spurroad/operation/AdminServerTest.java
@@ -0,0 +1,123 @@
+package spurroad.operation;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.function.Consumer;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+import spurroad.transport.Clock;
+import spurroad.transport.EventLog;
+import spurroad.transport.Threads;
+
+/** Calls at the second address, with callers that say nothing, half of it, or nonsense. */
+public class AdminServerTest {
+    private static final int PATIENCE_MS = 5_000;
+
+    static AdminServer server() throws IOException {
+        EventLog log = new EventLog();
+        return new AdminServer(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), new Threads(log), log,
+            new Clock());
+    }
+
+    static Socket connect(int port) throws IOException {
+        Socket s = new Socket(InetAddress.getLoopbackAddress(), port);
+        s.setSoTimeout(PATIENCE_MS);
+        return s;
+    }
+
+    /** All that is answered to some bytes. */
+    public static String call(int port, String text) throws IOException {
+        try (Socket s = connect(port)) {
+            s.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+            return new String(s.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+        }
+    }
+
+    public static String call(int port, String method, String path) throws IOException {
+        return call(port, method + " " + path + " HTTP/1.1\r\nHost: x\r\n\r\n");
+    }
+
+    static int status(String answer) {
+        return Integer.parseInt(answer.split(" ")[1]);
+    }
+
+    private static Calls calls(Consumer<Consumer<Boolean>> nodes) {
+        return new Calls(() -> true, new Figures().gauge("outstanding", () -> 3).counter("forwards", () -> 8),
+            (id, out, known) -> nodes.accept(known));
+    }
+
+    @DataProvider
+    Object[][] texts() {
+        String end = " HTTP/1.1\r\n\r\n";
+        return new Object[][] {{"GET /healthcheck" + end, 200, "serving"},
+            {"GET /stats" + end, 200, "proxy.outstanding:3|g\nproxy.forwards:8|c\n"},
+            {"POST /cache-nodes/s-1/maint" + end, 200, "s-1 gets nothing new"},
+            {"POST /cache-nodes/a%2Db/ready HTTP/1.1\r\nContent-Length: 2\r\n\r\n{}", 200, "a-b is used again"},
+            {"POST /healthcheck" + end, 405, "expected GET"}, {"GET /cache-nodes/s-1/maint" + end, 405, "expected POST"},
+            {"GET /nothing" + end, 404, "/cache-nodes/ID/maint"}, {"POST /cache-nodes/maint" + end, 400, "the id"},
+            {"POST /cache-nodes//maint" + end, 400, "the id"}, {"POST /cache-nodes/%zz/maint" + end, 400, "the id"},
+            {"nonsense\r\n\r\n", 400, "METHOD /PATH"}, {"GET /stats HTTP/1.1\r\nno colon\r\n\r\n", 400, "NAME: VALUE"},
+            {"GET /stats HTTP/1.1\r\nContent-Length: -1\r\n\r\n", 400, "Content-Length"},
+            {"GET /" + "y".repeat(5000), 431, "2048"},
+            {"GET /stats HTTP/1.1\r\n" + "a: b\r\n".repeat(100), 400, "64 headers"},
+            {"GET /stats" + end + "GET /stats" + end, 400, "one call"}};
+    }
+
+    @Test(dataProvider = "texts")
+    public void eachCallIsAnsweredAtOnceOrToldWhatWasExpected(String text, int status, String word) throws Exception {
+        AdminServer server = server();
+        server.serves(calls(known -> known.accept(true)));
+        String answer = call(server.port(), text);
+        assertEquals(status(answer), status, answer);
+        assertTrue(answer.contains(word), answer);
+        server.end();
+    }
+
+    @Test
+    public void beforeItServesAndForUnknownNodesTheAnswerIsNo() throws Exception {
+        AdminServer server = server();
+        assertEquals(status(call(server.port(), "GET", "/healthcheck")), 503);
+        server.serves(calls(known -> known.accept(false)));
+        assertEquals(status(call(server.port(), "POST", "/cache-nodes/x/maint")), 404);
+        server.end();
+    }
+
+    @Test
+    public void anUnconfirmedCallIsANoWithinASecond() throws Exception {
+        AdminServer server = server();
+        server.serves(calls(known -> { }));
+        long since = System.nanoTime();
+        assertEquals(status(call(server.port(), "POST", "/cache-nodes/x/maint")), 503);
+        assertTrue(System.nanoTime() - since < 1_000_000_000L);
+        server.end();
+    }
+
+    @Test
+    public void callersThatSayNothingOrHalfACallHoldUpNobody() throws Exception {
+        AdminServer server = server();
+        server.serves(calls(known -> known.accept(true)));
+        List<Socket> silent = new ArrayList<>();
+        for (int i = 0; i < 100; i++) {
+            silent.add(connect(server.port()));
+            if (i % 2 == 0) {
+                silent.get(i).getOutputStream().write("GET /sta".getBytes());
+            }
+        }
+        long since = System.nanoTime();
+        assertEquals(status(call(server.port(), "GET", "/stats")), 200);
+        assertTrue(System.nanoTime() - since < 1_000_000_000L, "answered late");
+        for (Socket s : silent) {
+            assertEquals(s.getInputStream().read(), -1, "closed in the end");
+            s.close();
+        }
+        server.end();
+    }
+}
--- a/proxy/src/test/java/spurroad/overload/StandIns.java
+++ b/proxy/src/test/java/spurroad/overload/StandIns.java
@@ -60,7 +60,7 @@
             this.origin = origin;
             random = new Random(seed);
             Listener listener = new Listener(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), loop,
-                new Descriptors(PLACES), this, log);
+                new Descriptors(PLACES).forClients(), this, log);
             listener.begin();
             port = listener.port();
         }
--- /dev/null
+++ b/proxy/src/test/java/spurroad/program/OperationTest.java
@@ -0,0 +1,139 @@
+package spurroad.program;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.util.Random;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.Consumer;
+import org.testng.annotations.Test;
+import spurroad.Peers;
+import spurroad.Peers.Client;
+import spurroad.Peers.Peer;
+import spurroad.operation.Figures;
+import spurroad.start.FaultyKeyException;
+import spurroad.start.ProxyStart;
+
+/** What staff do with a proxy that serves: figures, nodes out of use, settings that change. */
+public class OperationTest {
+    private static final String WATCH = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+    private static String figures(Service s) {
+        StringBuilder all = new StringBuilder();
+        s.figures().each(f -> all.append(f.name()).append('=').append(f.value()).append(' '));
+        return all.toString();
+    }
+
+    private static boolean stands(Service s, String id, boolean out) throws InterruptedException {
+        AtomicBoolean known = new AtomicBoolean();
+        CountDownLatch done = new CountDownLatch(1);
+        Consumer<Boolean> told = k -> {
+            known.set(k);
+            done.countDown();
+        };
+        s.stands(id, out, told);
+        assertTrue(done.await(20, TimeUnit.SECONDS));
+        return known.get();
+    }
+
+    private static String read(Client c, String key) throws Exception {
+        String line = c.say(ServiceTest.READ.replace("mg k", "mg " + key)).line();
+        return line.startsWith("VA") ? c.line() : line;
+    }
+
+    @Test
+    public void nothingNewReachesANodeThatStaffTookOutUntilTheyGiveItBack() throws Exception {
+        try (Peer a = new Peer(ServiceTest.hit("a")); Peer b = new Peer(ServiceTest.hit("b"));
+             Peer discovery = new Peer(m -> WATCH)) {
+            String first = Peers.target("s-1", "m1", a.port, "active", 0), second = Peers.target("s-2", "m1", b.port,
+                "active", 0);
+            Service s = ServiceTest.proxy(discovery, 256, first, second);
+            try (Client c = new Client(s.port())) {
+                assertTrue(!stands(s, "s-9", true), "never listed");
+                assertTrue(stands(s, "s-1", true) && stands(s, "s-1", true), "said twice, it is the same");
+                String again = Peers.list(2, true, first, second) + "\n";
+                discovery.say(Integer.toHexString(again.length()) + "\r\n" + again + "\r\n");
+                for (int i = 0; i < 100; i++) {
+                    assertEquals(read(c, "k" + i), "b");
+                }
+                assertTrue(a.heard.stream().noneMatch(m -> m.startsWith("mg")), "nothing, whatever the list says");
+                assertTrue(figures(s).contains("discovered=2 ejected=1"), figures(s));
+                assertTrue(stands(s, "s-1", false));
+                boolean used = false;
+                for (int i = 0; i < 1000 && !used; i++) {
+                    used = read(c, "k" + i).equals("a");
+                }
+                assertTrue(used, "one call back ends it");
+                assertTrue(stands(s, "s-1", true) && stands(s, "s-2", true));
+                assertTrue(read(c, "k").startsWith("SERVER_ERROR"), "none is left: told at once");
+            }
+        }
+    }
+
+    /** Whatever becomes of queries: ends and what is outstanding make up what was taken. */
+    @Test
+    public void figuresAddUp() throws Exception {
+        Random random = new Random(5);
+        try (Peer n = new Peer(m -> random.nextInt(4) == 0 ? null : random.nextInt(3) == 0 ? "SERVER_ERROR failed\r\n"
+            : ServiceTest.hit("v").apply(m)); Peer discovery = new Peer(m -> WATCH)) {
+            Service s = ServiceTest.proxy(discovery, 256, Peers.target("s-1", "m1", n.port, "active", 0));
+            int taken = 0;
+            for (int i = 0; i < 20; i++) {
+                try (Client c = new Client(s.port())) {
+                    for (int j = random.nextInt(4); j >= 0; j--, taken++) {
+                        c.say(ServiceTest.READ.replace("9000", "100").replace("O1", "Oi" + taken));
+                        if (random.nextBoolean()) {
+                            c.line();
+                        }
+                    }
+                }
+            }
+            Thread.sleep(500);
+            int sum = 0;
+            for (String f : figures(s).split(" ")) {
+                sum += f.startsWith("results.read") || f.startsWith("outstanding") ? Integer.parseInt(f.split("=")[1]) : 0;
+            }
+            assertTrue(sum > 0 && sum <= taken, "all but those that clients left: " + figures(s));
+            assertTrue(figures(s).contains("outstanding=0"), figures(s));
+        }
+    }
+
+    @Test
+    public void settingsChangeWholeOrNotAtAll() throws Exception {
+        try (Peer n = new Peer(ServiceTest.hit("v")); Peer discovery = new Peer(m -> WATCH)) {
+            String known = Peers.list(1, true, Peers.target("s-1", "m1", n.port, "active", 0));
+            String first = Peers.start(discovery.port, 256, known);
+            String other = first.replace("{\"name\":\"read\",", "{\"name\":\"look\",\"statementTimeoutUs\":9000000,")
+                .replace("\"mostExecutions\":6", "\"mostExecutions\":2");
+            Service s = ServiceTest.service(new ProxyStart(first));
+            try (Client c = new Client(s.port())) {
+                assertEquals(read(c, "k"), "v");
+                for (String faulty : new String[] {"", other.substring(0, other.length() - 2), "[]",
+                    other.replace("9000000,", "0,"), other.replace("\"mostExecutions\":2", "\"mostExecutions\":0"),
+                    other.replace("\"mostExecutions\":2,", ""), other.replace("\"seed\":\"7f\",", ""),
+                    other.replace("\"name\":\"put\"", "\"name\":\"look\""), other.replace("\"importance\":1", "\"x\":1"),
+                    other.replace("\"cancel\":true", "\"cancel\":1")}) {
+                    s.reload(() -> new ProxyStart(faulty));
+                    assertEquals(read(c, "k"), "v", faulty);
+                }
+                s.reload(() -> {
+                    throw new FaultyKeyException("it can't be read");
+                });
+                assertTrue(figures(s).contains("sighup_applied=0 sighup_rejected=11"), figures(s));
+                s.reload(() -> new ProxyStart(other));
+                String look = ServiceTest.READ.replace("c=read", "c=look");
+                String line = c.say(look).line();
+                for (int i = 0; i < 100 && line.startsWith("CLIENT_ERROR"); i++) {
+                    line = c.say(look).line();
+                }
+                assertEquals(line, "VA 1 O1");
+                c.line();
+                assertEquals(c.say(ServiceTest.READ).line(), "CLIENT_ERROR unknown class", "it has vanished");
+                assertTrue(figures(s).contains("results.look.succeeded=1") && figures(s).contains("results.read.succeeded=11"),
+                    "and keeps its counts: " + figures(s));
+            }
+        }
+    }
+}
--- a/proxy/src/test/java/spurroad/routing/NodeActorTest.java
+++ b/proxy/src/test/java/spurroad/routing/NodeActorTest.java
@@ -13,6 +13,7 @@
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Function;
 import org.testng.annotations.AfterClass;
 import org.testng.annotations.BeforeClass;
@@ -43,6 +44,7 @@
     private final Clock clock = new Clock();
     private final Loop loop = new Loop(log, clock);
     private final BlockingQueue<Reply> ended = new LinkedBlockingQueue<>();
+    private final AtomicInteger forwarded = new AtomicInteger();
 
     @BeforeClass
     public void start() {
@@ -60,7 +62,7 @@
 
     private NodeActor node(int port, boolean origin, Descriptors descriptors, long restNs) {
         return new NodeActor(new NodeActor.Surroundings(loop, log, descriptors, SHORT_NS, LONG_NS, restNs, Dialer.TCP,
-            () -> { }, (e, reply) -> ended.add(reply)), member(port, 0), origin);
+            () -> { }, (e, reply) -> ended.add(reply), forwarded::incrementAndGet), member(port, 0), origin);
     }
 
     private static Member member(int port, long started) {
@@ -71,7 +73,7 @@
     private Errand begin(NodeActor node, long allowNs) throws IOException {
         MetaCommand command = MetaCommand.read(new ByteSource(new ByteArrayInputStream(
             "mg k v O1 Pc=read,d=480\r\n".getBytes())));
-        Errand e = new Errand(new Query(null, command, new TrackId(0), null, 0, 0), 0, node, clock.now() + allowNs, 0);
+        Errand e = new Errand(new Query(null, command, new TrackId(0), null, null, 0, 0), 0, node, clock.now() + allowNs, 0);
         loop.tell(() -> node.begin(e));
         return e;
     }
--- a/proxy/src/test/java/spurroad/start/ProxyStartTest.java
+++ b/proxy/src/test/java/spurroad/start/ProxyStartTest.java
@@ -49,9 +49,9 @@
     @Test
     public void whatChangedAndNeedsANewStartIsNamed() {
         String other = GOOD.replace(":8500", ":8600").replace("\"seed\":\"7f\"", "\"seed\":\"8\"");
-        assertEquals(new ProxyStart(GOOD).changedBesidesDiscovery(new ProxyStart(other)), List.of());
+        assertEquals(new ProxyStart(GOOD).changedForGood(new ProxyStart(other)), List.of());
         other = other.replace(":192", ":256").replace("\"n1\"", "\"n2\"");
-        assertEquals(new ProxyStart(GOOD).changedBesidesDiscovery(new ProxyStart(other)), List.of("limits", "name"));
+        assertEquals(new ProxyStart(GOOD).changedForGood(new ProxyStart(other)), List.of("limits", "name"));
     }
 
     @DataProvider
