A new process takes over beside the old one on an inherited listening socket

The socket comes as descriptor 0 by System.inheritedChannel(): it copies the descriptor and leaves standard output and error alone until that channel is closed, so it is left (its key cancelled), never closed. Ruled out by this: losing the log, which a close there sends to nowhere. Not taken: a poll of the old process's second address; a process that dies in between would hang it, while the lock on a file falls back by itself.

Files, bounds and order stand in docs/design/operation.md. After SIGTERM the old process leaves the queue to the new one at once, closes each connection with its answer and quiet ones after a second.

--- a/proxy/src/main/java/spurroad/operation/AdminServer.java
+++ b/proxy/src/main/java/spurroad/operation/AdminServer.java
@@ -32,7 +32,7 @@
         loop = new Loop(log, clock);
         listener = new Listener(at, loop, new CallerPlaces(), this, log);
         threads.start("second address", loop);
-        listener.begin();
+        listener.begin(() -> { });
     }
 
     /** What calls do from now on. */
--- a/proxy/src/main/java/spurroad/operation/Calls.java
+++ b/proxy/src/main/java/spurroad/operation/Calls.java
@@ -36,7 +36,7 @@
             String id = end < NODES.length() ? null : Call.decoded(path.substring(NODES.length(), end));
             if (!call.method().equals("POST")) {
                 answer.accept(new Answer(405, "expected POST " + path + "\n"));
-            } else if (id == null || id.isEmpty() || id.indexOf('/') >= 0) {
+            } else if (id == null || id.isEmpty() || id.chars().anyMatch(c -> c <= ' ' || c == '/')) {
                 answer.accept(Answer.badCall("expected the id of a cache node between /cache-nodes/ and the last /"));
             } else {
                 node(id, path.endsWith(OUT), answer);
--- /dev/null
+++ b/proxy/src/main/java/spurroad/program/Handover.java
@@ -0,0 +1,249 @@
+package spurroad.program;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.Iterator;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import spurroad.start.ProxyStart;
+import spurroad.transport.EventLog;
+
+/**
+ * This process beside another that shares its listening socket: who serves, which cache nodes staff took out of use,
+ * and how many descriptors each may hold. A thread of its own, which alone works the folder; docs/design/operation.md
+ * tells the files.
+ */
+public final class Handover implements Runnable {
+    /** What it acts upon in this process. */
+    interface Here {
+        /** Takes a cache node out of use or gives it back; tells from any thread whether such a one is known. */
+        void stands(String id, boolean out, boolean vouched, Consumer<Boolean> known);
+
+        int placesHeld();
+
+        void places(int most);
+    }
+
+    private static final long BESIDE_MS = 50; // ms; between looks while another lives: short beside the 1 s for an answer
+    private static final long ALONE_MS = 250; // ms; between looks for another: it takes longer to begin to serve
+    private static final int SLACK = 16; // descriptors; beyond those held, for what comes until the next look
+    private static final int LEAST = 24; // descriptors; fewer serve nobody
+
+    /** A call that the others have not taken up yet. */
+    private record Call(String hash, boolean out, Consumer<Boolean> answer) { }
+
+    private final SharedFolder folder;
+    private final EventLog log;
+    private final long pid, begunMs;
+    private final int allPlaces, ownOfEach;
+    private final BlockingQueue<Runnable> told = new LinkedBlockingQueue<>(); // bounded by the callers at a time
+    // the thread's
+    private final Map<String, String> out = new HashMap<>(); // that this process holds out of use: ids by their hashes
+    private final List<String> underWay = new ArrayList<>(); // hashes; of calls that this process is taking up
+    private final List<Call> unconfirmed = new ArrayList<>();
+    private Map<Long, ProcessState> others = new TreeMap<>();
+    private ProcessState lastTold;
+    private Here here;
+    private int places;
+    private long servingMs;
+    private boolean ending, ended;
+    private volatile boolean successorServes;
+
+    /**
+     * Takes its place beside others.
+     *
+     * @param allPlaces descriptors for clients and nodes of a process that is alone
+     * @param ownOfEach descriptors that each process holds besides
+     */
+    Handover(Path shared, long pid, int allPlaces, int ownOfEach, EventLog log)
+        throws IOException, InterruptedException {
+        this.pid = pid;
+        this.allPlaces = allPlaces;
+        this.ownOfEach = ownOfEach;
+        this.log = log;
+        begunMs = System.currentTimeMillis();
+        folder = new SharedFolder(shared, pid, log);
+        others = folder.others();
+        places = bound();
+        tellOthers();
+    }
+
+    /** The one of a proxy; null where its listening socket is its own, so that no other can be beside it. */
+    static Handover of(ProxyStart start, EventLog log) throws IOException, InterruptedException {
+        return start.shared == null ? null
+            : new Handover(start.shared, ProcessHandle.current().pid(), start.places, start.ownSockets, log);
+    }
+
+    /** How many descriptors this process may hold for clients and nodes at its start. */
+    int places() {
+        return places;
+    }
+
+    /** Whether a process that began later serves; from any thread. */
+    boolean successorServes() {
+        return successorServes;
+    }
+
+    // ---- told
+
+    /**
+     * Before this process accepts: the others hear that it serves, and what staff said is taken up. Whatever is called
+     * to them from then on is confirmed by this process too. To be followed by its thread.
+     */
+    void serves(Here by) throws IOException, InterruptedException {
+        here = by;
+        servingMs = System.currentTimeMillis();
+        tellOthers();
+        look();
+        while (!underWay.isEmpty()) {
+            told.take().run();
+        }
+    }
+
+    void ending() {
+        told.add(() -> ending = true);
+    }
+
+    /** A call of staff; answered once this process and the others have taken it up. */
+    void called(String id, boolean outOfUse, Consumer<Boolean> answer) {
+        told.add(() -> takeUp(id, outOfUse, false, known -> {
+            if (!known) {
+                answer.accept(false);
+                return;
+            }
+            write(id, outOfUse);
+            unconfirmed.add(new Call(SharedFolder.hash(id), outOfUse, answer));
+        }));
+    }
+
+    /** For tests: else the process ends with it. */
+    void end() {
+        told.add(() -> ended = true);
+    }
+
+    // ---- the thread
+
+    @Override
+    public void run() {
+        try {
+            while (!ended) {
+                boolean quiet = others.isEmpty() && unconfirmed.isEmpty() && underWay.isEmpty();
+                Runnable first = told.poll(quiet ? ALONE_MS : BESIDE_MS, TimeUnit.MILLISECONDS);
+                for (Runnable next = first; next != null; next = told.poll()) {
+                    next.run();
+                }
+                try {
+                    look();
+                } catch (IOException e) {
+                    log.trouble("the shared folder can't be worked", e);
+                }
+            }
+            folder.close();
+        } catch (IOException | InterruptedException e) {
+            log.trouble("the hand-over ends", e);
+        }
+    }
+
+    /** One look at the folder: who lives, what is out of use, how many descriptors are left. */
+    private void look() throws IOException {
+        Set<Long> before = new TreeSet<>(others.keySet());
+        others = folder.others();
+        if (!others.keySet().equals(before)) {
+            log.event("processes beside this one", others.keySet());
+        }
+        ProcessState self = state();
+        successorServes = others.entrySet().stream().anyMatch(o -> o.getValue() != null
+            && o.getValue().servingMs() > 0 && !o.getValue().ending() && o.getValue().after(self, o.getKey(), pid));
+        places = bound();
+        here.places(places);
+        Map<String, String> said = folder.out();
+        said.forEach((hash, id) -> {
+            if (!out.containsKey(hash) && !underWay.contains(hash)) {
+                takeUp(id, true, true, known -> { });
+            }
+        });
+        for (String hash : List.copyOf(out.keySet())) {
+            if (!said.containsKey(hash) && !underWay.contains(hash)) {
+                takeUp(out.get(hash), false, true, known -> { });
+            }
+        }
+        tellOthers();
+        confirm();
+    }
+
+    /** What the process does about a node, told back to this thread. */
+    private void takeUp(String id, boolean outOfUse, boolean vouched, Consumer<Boolean> then) {
+        String hash = SharedFolder.hash(id);
+        underWay.add(hash);
+        here.stands(id, outOfUse, vouched, known -> told.add(() -> {
+            underWay.remove(hash);
+            if (known && outOfUse) {
+                out.put(hash, id);
+            } else if (known) {
+                out.remove(hash);
+            }
+            then.accept(known);
+        }));
+    }
+
+    private void write(String id, boolean outOfUse) {
+        try {
+            folder.out(id, outOfUse);
+        } catch (IOException e) {
+            log.trouble("a node out of use can't be told to other processes", e);
+        }
+    }
+
+    /** Answers the calls that all who serve have taken up. */
+    private void confirm() {
+        for (Iterator<Call> i = unconfirmed.iterator(); i.hasNext(); ) {
+            Call c = i.next();
+            boolean all = others.values().stream()
+                .allMatch(o -> o == null || o.servingMs() == 0 || o.out().contains(c.hash) == c.out);
+            boolean other = out.containsKey(c.hash) != c.out; // a later call says otherwise: this one is over
+            if (all || other) {
+                i.remove();
+                c.answer.accept(true);
+            }
+        }
+    }
+
+    /**
+     * What is left for this process. Those before keep half, or what they hold where that is more, and once they end only what
+     * they hold; the last takes what they leave.
+     */
+    private int bound() {
+        int all = allPlaces - others.size() * ownOfEach;
+        if (others.isEmpty()) {
+            return allPlaces;
+        }
+        ProcessState self = state();
+        boolean last = others.entrySet().stream()
+            .noneMatch(o -> o.getValue() != null && o.getValue().after(self, o.getKey(), pid));
+        int held = here == null ? 0 : here.placesHeld();
+        int wanted = last ? all - others.values().stream().mapToInt(o -> o == null ? 0 : o.places()).sum()
+            : ending ? held + SLACK : Math.max(all / 2, held + SLACK);
+        return Math.max(LEAST, Math.min(wanted, all - LEAST));
+    }
+
+    private ProcessState state() {
+        return new ProcessState(begunMs, servingMs, ending, places, out.keySet());
+    }
+
+    private void tellOthers() throws IOException {
+        ProcessState now = new ProcessState(begunMs, servingMs, ending, places, new TreeSet<>(out.keySet()));
+        if (!now.equals(lastTold)) {
+            folder.tell(now);
+            lastTold = now;
+        }
+    }
+}
--- a/proxy/src/main/java/spurroad/program/Main.java
+++ b/proxy/src/main/java/spurroad/program/Main.java
@@ -57,15 +57,17 @@
                 Threads threads = new Threads(log);
                 Clock clock = new Clock();
                 AdminServer admin = start.admin == null ? null : admin(start, threads, log, clock);
+                Handover handover = Handover.of(start, log); // before it plays: another makes room meanwhile
                 new Rehearsal(start).play(threads, log, clock);
-                Service service = new Service(start, threads, log, clock);
+                Service service = new Service(start, threads, log, clock, handover);
                 up.complete(service);
                 if (admin != null) {
                     admin.serves(service.calls());
                 }
                 Runtime.getRuntime().addShutdownHook(new Thread(() -> shutDown(service)));
             } catch (IOException e) {
-                end("spurroad: can't listen at " + start.listen + ": " + e.getMessage(), FAILED);
+                end("spurroad: can't listen at " + (start.listenDescriptor.isEmpty() ? start.listen : "descriptor 0") + ": "
+                    + e.getMessage(), FAILED);
             }
         } catch (FaultyKeyException e) {
             end("spurroad: " + e.getMessage(), MISUSED);
--- a/proxy/src/main/java/spurroad/program/Service.java
+++ b/proxy/src/main/java/spurroad/program/Service.java
@@ -1,7 +1,9 @@
 package spurroad.program;
 
 import java.io.IOException;
+import java.nio.channels.ServerSocketChannel;
 import java.util.List;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
@@ -25,8 +27,8 @@
 import spurroad.transport.Threads;
 
 /** One real proxy: puts its parts together, and ends it in order. */
-public final class Service {
-    private static final long STILL_ACCEPT_MS = 500; // ms; new connections go on coming for up to 400 ms
+public final class Service implements Handover.Here {
+    private static final long STILL_ACCEPT_NS = 500_000_000L; // ns; new connections go on coming for up to 400 ms
     private static final long CLOSING_MS = 200; // ms; for those whom the system has accepted
     private static final long GRACE_NS = 650_000_000L; // ns; after the longest wait, before it may be killed: 0.7 s
     private static final long LAST_NS = 400_000_000L; // ns; what comes last still has so long for its answer
@@ -37,6 +39,9 @@
     private static final long REST_NS = 10_000_000L; // ns; of a node's connection: what follows an answer comes in less
 
     private final EventLog log;
+    private final Descriptors descriptors;
+    private final Handover handover; // null where no other process can be beside this one
+    private final CountDownLatch serving = new CountDownLatch(1);
     private final Listener listener;
     private final Clients clients;
     private final ListWatch list;
@@ -45,38 +50,76 @@
     private final AtomicLong applied = new AtomicLong(), rejected = new AtomicLong(); // files read at SIGHUP
     private ProxyStart start;
 
-    /** Starts it; it takes queries once this returns. */
-    public Service(ProxyStart start, Threads threads, EventLog log, Clock clock) throws IOException {
+    /**
+     * Starts it; it takes queries once this returns.
+     *
+     * @param handover beside other processes of this proxy; null where there can be none
+     */
+    public Service(ProxyStart start, Threads threads, EventLog log, Clock clock, Handover handover)
+        throws IOException, InterruptedException {
         this.start = start;
         this.log = log;
-        Descriptors descriptors = new Descriptors(start.places);
+        this.handover = handover;
+        descriptors = new Descriptors(handover == null ? start.places : handover.places());
         Loop loop = new Loop(log, clock);
         this.clock = clock;
         decider = new Decider(start, threads, loop, log, clock, descriptors, Dialer.TCP, REST_NS);
         clients = new Clients(start, loop, log, decider, descriptors.leftForClients());
-        listener = new Listener(start.listen, loop, descriptors.forClients(), clients, log);
+        listener = start.listenDescriptor.isEmpty()
+            ? new Listener(start.listen, loop, descriptors.forClients(), clients, log)
+            : new Listener(inherited(), loop, descriptors.forClients(), clients, log);
         list = new ListWatch(start, threads, loop, log, decider);
         decider.follows(list);
         decider.listed(start.known);
         threads.start("module", decider);
         threads.start("loop", loop);
-        listener.begin();
+        if (handover != null) {
+            handover.serves(this);
+            threads.start("hand-over", handover);
+        }
+        listener.begin(serving::countDown);
         log.event("serving", start.name + " at " + start.listen + ", " + descriptors.leftForClients()
             + " places for clients at most, " + descriptors.leftForNodes() + " for nodes");
     }
 
+    private static ServerSocketChannel inherited() throws IOException {
+        if (System.inheritedChannel() instanceof ServerSocketChannel socket) {
+            return socket;
+        }
+        throw new IOException("descriptor 0 is no listening socket, as BALANCER_LISTEN_FD says it is");
+    }
+
     public int port() {
         return listener.port();
     }
 
     /** What calls at the second address do. */
     public Calls calls() {
-        return new Calls(() -> true, figures(), this::stands);
+        return new Calls(() -> serving.getCount() == 0, figures(), this::called);
     }
 
-    /** Takes a cache node out of use, or gives it back; tells whether such a one has been listed. */
-    void stands(String id, boolean out, Consumer<Boolean> known) {
-        decider.byHand(new NodeId(Members.hash(id)), out, known);
+    /** Staff take a cache node out of use, or give it back; tells whether such a one has been listed. */
+    void called(String id, boolean out, Consumer<Boolean> known) {
+        if (handover == null) {
+            stands(id, out, false, known);
+        } else {
+            handover.called(id, out, known);
+        }
+    }
+
+    @Override
+    public void stands(String id, boolean out, boolean vouched, Consumer<Boolean> known) {
+        decider.byHand(new NodeId(Members.hash(id)), out, vouched, known);
+    }
+
+    @Override
+    public int placesHeld() {
+        return descriptors.held();
+    }
+
+    @Override
+    public void places(int most) {
+        descriptors.resize(most);
     }
 
     Figures figures() {
@@ -129,7 +172,16 @@
         long since = System.nanoTime();
         long killed = clients.longestWaitNs() + GRACE_NS;
         clients.allAnsweredWithin(killed);
-        Thread.sleep(STILL_ACCEPT_MS);
+        if (handover != null) {
+            handover.ending();
+        }
+        while (System.nanoTime() - since < STILL_ACCEPT_NS && !handedOver()) {
+            Thread.sleep(LOOK_MS);
+        }
+        if (handedOver()) {
+            listener.leave();
+            clients.letGo();
+        }
         // with no place left it can't take those who wait, and clients have to go first
         boolean closed = listener.end(CLOSING_MS);
         long on = Math.min(MOST_ON_NS, killed - LAST_NS);
@@ -143,4 +195,8 @@
         }
         log.event("ended", clients.count() + " clients left");
     }
+
+    private boolean handedOver() {
+        return handover != null && handover.successorServes();
+    }
 }
--- a/proxy/src/main/java/spurroad/routing/Clients.java
+++ b/proxy/src/main/java/spurroad/routing/Clients.java
@@ -24,6 +24,7 @@
     private static final int AT_ONCE = 4; // connections; closed at a shortage, so that it is not one again at once
     private static final int CROWD = 4; // one part in so many of the places: as many open queries are rare
     private static final long TIDY_NS = 100_000_000L; // ns; between looks at who says nothing; some microseconds each
+    private static final long QUIET_NS = 1_000_000_000L; // ns; who has asked nothing for so long asks seldom
     private static final long MIB = 1 << 20, NS_PER_MS = 1_000_000L;
 
     final Loop loop;
@@ -168,6 +169,23 @@
         return ending;
     }
 
+    /**
+     * Others serve from now on: each connection closes with the answer that it waits for, and those without a query once
+     * they have been quiet for long enough that hardly a command crosses the close.
+     */
+    public void letGo() {
+        ending = true;
+        loop.tell(this::closeQuiet);
+    }
+
+    private void closeQuiet() {
+        List.copyOf(connections).stream().filter(c -> now() - c.idleSince() > QUIET_NS)
+            .forEach(ClientConnection::closeIfIdle);
+        if (!connections.isEmpty()) {
+            loop.after(TIDY_NS, this::closeQuiet);
+        }
+    }
+
     /** Closes connections between two commands from now on; answers go out first. */
     public void end() {
         ending = true;
--- a/proxy/src/main/java/spurroad/routing/Decider.java
+++ b/proxy/src/main/java/spurroad/routing/Decider.java
@@ -340,10 +340,12 @@
     /**
      * Takes a cache node out of use, or gives it back. Tells, on the loop, whether such a cache node has been listed;
      * by then nothing new begins at one that is out of use: not what waits for a connection to it either.
+     *
+     * @param vouched whether it is so even if it was never listed here: another process has heard of it
      */
-    public void byHand(NodeId id, boolean out, Consumer<Boolean> done) {
+    public void byHand(NodeId id, boolean out, boolean vouched, Consumer<Boolean> done) {
         mailbox.tell(() -> {
-            boolean known = Boolean.TRUE.equals(everListed.get(id));
+            boolean known = vouched || Boolean.TRUE.equals(everListed.get(id));
             if (known) {
                 stands(id, out);
             }
--- a/proxy/src/main/java/spurroad/start/ProxyStart.java
+++ b/proxy/src/main/java/spurroad/start/ProxyStart.java
@@ -30,6 +30,7 @@
     private static final double PLACE_MB = 0.08; // MiB; a connection with its thread: 77 KiB were seen
     private static final int LEAST_PLACES = 32; // connections; with less memory we hope rather than serve nobody
 
+    private static final String ADMIN = "BALANCER_ADMIN_ADDR"; // goes before the file: each process has its own
     private static final Set<String> TOLD_ANEW = Set.of("discovery", "seed", "known", "admin_addr"); // keys; new with each file
 
     public final String name;
@@ -39,10 +40,16 @@
     public final InetSocketAddress admin;
     public final long seed;
     public final int memoryMb;
+    /** The number of the inherited descriptor that is the listening socket; empty where the program opens its own. */
+    public final String listenDescriptor;
+    /** What processes of one proxy share; null where the platform gives no folder. */
+    public final Path shared;
     /** How much of a core the process gets. */
     public final double cores;
     /** How many connections of all kinds fit into the limits on descriptors and on memory. */
     public final int places;
+    /** How many descriptors it holds besides. */
+    public final int ownSockets;
     public final Members known;
     public final StartFigures figures;
     private final Map<?, ?> whole;
@@ -54,17 +61,18 @@
             throw new FaultyKeyException("BALANCER_CONFIG is not set: expected the path of a JSON file");
         }
         try {
-            return new ProxyStart(Files.readString(Path.of(path)), environment.get("BALANCER_ADMIN_ADDR"));
+            return new ProxyStart(Files.readString(Path.of(path)), environment);
         } catch (IOException e) {
             throw new FaultyKeyException("BALANCER_CONFIG: can't read " + path);
         }
     }
 
     public ProxyStart(String text) {
-        this(text, null);
+        this(text, Map.of());
     }
 
-    private ProxyStart(String text, String adminOfEnvironment) {
+    /** With what the environment tells besides the file. */
+    public ProxyStart(String text, Map<String, String> environment) {
         Object json;
         try {
             json = Json.read(text);
@@ -75,16 +83,23 @@
         name = text(whole, "name");
         listen = address(whole, "listen");
         discovery = address(whole, "discovery");
-        boolean told = adminOfEnvironment != null && !adminOfEnvironment.isEmpty();
-        admin = told ? address(Map.of("BALANCER_ADMIN_ADDR", adminOfEnvironment), "BALANCER_ADMIN_ADDR")
+        admin = !environment.getOrDefault(ADMIN, "").isEmpty() ? address(environment, ADMIN)
             : whole.containsKey("admin_addr") ? address(whole, "admin_addr") : null;
         seed = seed(whole);
+        listenDescriptor = environment.getOrDefault("BALANCER_LISTEN_FD", "");
+        if (!listenDescriptor.isEmpty() && !listenDescriptor.equals("0")) {
+            throw new FaultyKeyException("BALANCER_LISTEN_FD is " + listenDescriptor + ": expected 0, the only "
+                + "descriptor that the virtual machine takes over");
+        }
+        String temporary = environment.getOrDefault("TMPDIR", "");
+        shared = temporary.isEmpty() || listenDescriptor.isEmpty() ? null : Path.of(temporary, "spurroad-" + name);
         Map<?, ?> limits = whole.get("limits") == null ? Map.of() : object(whole.get("limits"), "limits");
         memoryMb = (int) number(limits, "limits.", "memory_mb", MEMORY_MB, LEAST_MEMORY_MB);
         cores = number(limits, "limits.", "cores", CORES, LEAST_CORES);
         int sockets = (int) number(limits, "limits.", "sockets", SOCKETS, LEAST_SOCKETS);
+        ownSockets = OWN_SOCKETS + (admin == null ? 0 : ADMIN_SOCKETS);
         double fitting = (memoryMb * (1 - HEAP_SHARE) - OWN_MB) / PLACE_MB;
-        places = (int) Math.min(sockets - OWN_SOCKETS - (admin == null ? 0 : ADMIN_SOCKETS), Math.max(LEAST_PLACES, fitting));
+        places = (int) Math.min(sockets - ownSockets, Math.max(LEAST_PLACES, fitting));
         figures = StartFigures.ofJson(object(whole.get("settings"), "settings"));
         try {
             known = Members.read(object(whole.get("known"), "known"), figures.names);
--- a/proxy/src/main/java/spurroad/transport/Descriptors.java
+++ b/proxy/src/main/java/spurroad/transport/Descriptors.java
@@ -13,16 +13,31 @@
     private static final int LIST = 2; // places; a watch, and the next one while that closes
     private static final int GUESTS = 8; // places; clients for whom there is no other, answered and let go at once
 
-    private final Semaphore all;
-    private final Semaphore clients;
-    private final Semaphore nodes;
+    private final Permits all, clients, nodes;
     private final Semaphore guests = new Semaphore(GUESTS);
 
     public Descriptors(int places) {
         int free = places - LIST - GUESTS;
-        all = new Semaphore(free);
-        clients = new Semaphore(Math.max(1, (int) (free * CLIENTS_MOST)));
-        nodes = new Semaphore(Math.max(1, (int) (free * NODES_MOST)));
+        all = new Permits(free);
+        clients = new Permits(part(free, CLIENTS_MOST));
+        nodes = new Permits(part(free, NODES_MOST));
+    }
+
+    private static int part(int free, double share) {
+        return Math.max(1, (int) (free * share));
+    }
+
+    /** Makes them as many as that from now on; where more are held, none is taken until enough are given back. */
+    public void resize(int places) {
+        int free = Math.max(2, places - LIST - GUESTS);
+        all.resize(free);
+        clients.resize(part(free, CLIENTS_MOST));
+        nodes.resize(part(free, NODES_MOST));
+    }
+
+    /** How many are held, with those that are kept for the list and for guests. */
+    public int held() {
+        return all.held() + LIST + GUESTS;
     }
 
     /** The places for clients, as the listener takes them. */
--- a/proxy/src/main/java/spurroad/transport/Listener.java
+++ b/proxy/src/main/java/spurroad/transport/Listener.java
@@ -34,6 +34,7 @@
     private static final long LAST_NS = 20_000_000L; // ns; without a further connection, before the socket is closed
 
     private final ServerSocketChannel socket;
+    private final boolean own;
     private final Loop loop;
     private final Places places;
     private final Door door;
@@ -43,26 +44,46 @@
     private SelectionKey key;
     private boolean asked, ending, quiet;
 
+    /** One that hears what comes to an address. */
     public Listener(InetSocketAddress at, Loop loop, Places places, Door door, EventLog log)
         throws IOException {
+        this(bound(at), true, loop, places, door, log);
+    }
+
+    /**
+     * One that shares a listening socket with others, who may go on listening: it is left, never closed.
+     *
+     * @param inherited the socket that the process was started with
+     */
+    public Listener(ServerSocketChannel inherited, Loop loop, Places places, Door door, EventLog log) {
+        this(inherited, false, loop, places, door, log);
+    }
+
+    private Listener(ServerSocketChannel socket, boolean own, Loop loop, Places places, Door door, EventLog log) {
+        this.socket = socket;
+        this.own = own;
         this.loop = loop;
         this.places = places;
         this.door = door;
         this.log = log;
-        socket = ServerSocketChannel.open();
+    }
+
+    private static ServerSocketChannel bound(InetSocketAddress at) throws IOException {
+        ServerSocketChannel socket = ServerSocketChannel.open();
         socket.setOption(StandardSocketOptions.SO_REUSEADDR, true);
-        socket.bind(at, BACKLOG);
+        return socket.bind(at, BACKLOG);
     }
 
     public int port() {
         return socket.socket().getLocalPort();
     }
 
-    /** Begins to accept. */
-    public void begin() {
+    /** Begins to accept, and has it told on the loop. */
+    public void begin(Runnable begun) {
         loop.tell(() -> {
             try {
                 key = loop.register(socket, SelectionKey.OP_ACCEPT, operations -> accept());
+                begun.run();
             } catch (IOException e) {
                 log.trouble("the listening socket can't be worked", e.getMessage());
             }
@@ -72,7 +93,7 @@
     private enum Place { OWN, GUEST, NONE }
 
     private void accept() {
-        for (int i = 0; i < AT_ONCE && socket.isOpen(); i++) {
+        for (int i = 0; i < AT_ONCE && key.isValid(); i++) {
             Place place = place();
             if (place == Place.NONE) {
                 rest(ASK_NS);
@@ -138,18 +159,36 @@
         return ended.await(waitMs, TimeUnit.MILLISECONDS);
     }
 
+    /** Leaves all who wait to whoever shares the socket, at once. */
+    public void leave() {
+        loop.tell(() -> {
+            ending = true;
+            close();
+        });
+    }
+
+    private void close() {
+        key.cancel();
+        try {
+            if (own) {
+                socket.close();
+            }
+        } catch (IOException e) {
+            log.trouble("the listening socket can't be closed", e.getMessage());
+        }
+        loop.afterSelect(ended::countDown);
+    }
+
     /** Nobody came between two looks: whom the system has accepted has been taken. */
     private void closeOnceQuiet() {
+        if (!key.isValid()) {
+            return; // left meanwhile
+        }
         boolean wasQuiet = quiet;
         quiet = true;
         accept();
         if (wasQuiet && quiet && !asked) {
-            try {
-                socket.close();
-            } catch (IOException e) {
-                log.trouble("the listening socket can't be closed", e.getMessage());
-            }
-            loop.afterSelect(ended::countDown);
+            close();
         } else {
             loop.after(LAST_NS, this::closeOnceQuiet);
         }
--- /dev/null
+++ b/proxy/src/main/java/spurroad/transport/Permits.java
@@ -0,0 +1,34 @@
+package spurroad.transport;
+
+import java.util.concurrent.Semaphore;
+
+/** A semaphore whose permits may go below zero: what is owed, or was cut while it was held, is given back first. */
+final class Permits extends Semaphore {
+    private static final long serialVersionUID = 1L;
+    private int all;
+
+    Permits(int permits) {
+        super(permits);
+        all = permits;
+    }
+
+    /** Takes permits whether there are any or not. */
+    void owe(int permits) {
+        reducePermits(permits);
+    }
+
+    /** Makes it as many in all from now on. */
+    synchronized void resize(int permits) {
+        if (permits < all) {
+            reducePermits(all - permits);
+        } else {
+            release(permits - all);
+        }
+        all = permits;
+    }
+
+    /** How many are held now. */
+    synchronized int held() {
+        return all - availablePermits();
+    }
+}
--- a/proxy/src/main/java/spurroad/transport/Room.java
+++ b/proxy/src/main/java/spurroad/transport/Room.java
@@ -1,16 +1,14 @@
 package spurroad.transport;
 
-import java.util.concurrent.Semaphore;
-
 /** The bytes that all queries under way may hold at once. Whoever takes some gives them back once. */
 public final class Room {
     private static final int UNIT = 1024; // bytes; counted in these
-    private final Free free;
+    private final Permits free;
     private final int all;
 
     public Room(long bytes) {
         all = (int) Math.min(Integer.MAX_VALUE, bytes / UNIT);
-        free = new Free(all);
+        free = new Permits(all);
     }
 
     /** The part of it that is taken; over 1 where more is owed than there is. */
@@ -25,7 +23,7 @@
 
     /** Takes room that is needed whether there is any or not; nothing more is let in until it is given back. */
     public void owe(long bytes) {
-        free.reduce(units(bytes));
+        free.owe(units(bytes));
     }
 
     /** Whether more is held than there is room for. */
@@ -37,19 +35,6 @@
         free.release(units(bytes));
     }
 
-    /** A semaphore whose permits may go below zero. */
-    private static final class Free extends Semaphore {
-        private static final long serialVersionUID = 1L;
-
-        private Free(int permits) {
-            super(permits);
-        }
-
-        private void reduce(int permits) {
-            reducePermits(permits);
-        }
-    }
-
     private static int units(long bytes) {
         return (int) ((bytes + UNIT - 1) / UNIT);
     }
--- a/proxy/src/test/java/spurroad/overload/StandIns.java
+++ b/proxy/src/test/java/spurroad/overload/StandIns.java
@@ -61,7 +61,7 @@
             random = new Random(seed);
             Listener listener = new Listener(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), loop,
                 new Descriptors(PLACES).forClients(), this, log);
-            listener.begin();
+            listener.begin(() -> { });
             port = listener.port();
         }
 
--- /dev/null
+++ b/proxy/src/test/java/spurroad/program/HandoverTest.java
@@ -0,0 +1,137 @@
+package spurroad.program;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertNull;
+import static org.testng.Assert.assertTrue;
+
+import java.io.File;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.ConcurrentSkipListSet;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+import spurroad.transport.EventLog;
+
+/** Processes of one proxy beside each other, as far as files tell; those with sockets are in UpgradeTest. */
+public class HandoverTest {
+    private static final int ALL = 200, OWN = 40;
+
+    /** What a process does, kept. */
+    private static final class Process implements Handover.Here {
+        private final Set<String> out = new ConcurrentSkipListSet<>();
+        private volatile int places, held;
+        private final Handover handover;
+
+        private Process(Path shared, long pid) throws Exception {
+            handover = new Handover(shared, pid, ALL, OWN, new EventLog());
+        }
+
+        private Process serving() throws Exception {
+            handover.serves(this);
+            new Thread(handover).start();
+            return this;
+        }
+
+        @Override
+        public void stands(String id, boolean outOfUse, boolean vouched, Consumer<Boolean> known) {
+            boolean listed = vouched || id.startsWith("s-");
+            if (listed && outOfUse) {
+                out.add(id);
+            } else if (listed) {
+                out.remove(id);
+            }
+            known.accept(listed);
+        }
+
+        @Override
+        public int placesHeld() {
+            return held;
+        }
+
+        @Override
+        public void places(int most) {
+            places = most;
+        }
+
+        private Boolean call(String id, boolean outOfUse) throws InterruptedException {
+            BlockingQueue<Boolean> answer = new LinkedBlockingQueue<>();
+            handover.called(id, outOfUse, answer::add);
+            return answer.poll(10, TimeUnit.SECONDS);
+        }
+    }
+
+    private interface Condition {
+        boolean holds();
+    }
+
+    private static void await(Condition c) throws InterruptedException {
+        for (int i = 0; i < 1000 && !c.holds(); i++) {
+            Thread.sleep(10);
+        }
+        assertTrue(c.holds());
+    }
+
+    private static Path shared() throws IOException {
+        return Files.createTempDirectory("handover").resolve("spurroad-n1");
+    }
+
+    /** A lock is a process's: the other is one of its own here, played by a file that another program locks. */
+    @Test
+    public void aCallHoldsOverAnUpgradeAndLeftoversAreNotBelieved() throws Exception {
+        Path shared = shared();
+        Process first = new Process(shared, 1).serving();
+        assertEquals(first.call("x", true), Boolean.FALSE, "never listed");
+        assertEquals(first.call("s-1", true), Boolean.TRUE);
+        assertEquals(first.call("s-1", true), Boolean.TRUE);
+        assertEquals(first.call("s-2", true), Boolean.TRUE);
+        assertEquals(first.call("s-2", false), Boolean.TRUE);
+        first.handover.end();
+        Files.writeString(shared.resolve("out-77"), "spurroad-out 1\ns-3\n"); // its name is another's
+        Files.writeString(shared.resolve("out-" + SharedFolder.hash("s-4")), "spurroad-out 1\ns-4"); // torn
+        Files.writeString(shared.resolve("5.state"), "begun"); // of one that left no lock
+        Files.writeString(shared.resolve("6.lock"), ""); // killed
+        Process second = new Process(shared, 2).serving();
+        assertEquals(second.out, Set.of("s-1"));
+        assertEquals(second.places, ALL, "nobody lives beside it");
+        assertEquals(second.call("s-1", false), Boolean.TRUE);
+        second.handover.end();
+        assertEquals(new Process(shared, 3).serving().out, Set.of());
+    }
+
+    @DataProvider
+    Object[][] states() {
+        String whole = new ProcessState(5, 7, true, 30, Set.of("a1", "b2")).text();
+        List<Object[]> cases = new ArrayList<>();
+        for (int cut = 0; cut < whole.length(); cut++) {
+            cases.add(new Object[] {whole.substring(0, cut)});
+        }
+        cases.add(new Object[] {whole.replace("process 1", "process 2")});
+        cases.add(new Object[] {whole.replace("places 30", "places x")});
+        return cases.toArray(Object[][]::new);
+    }
+
+    @Test(dataProvider = "states")
+    public void aTornStateIsNone(String text) {
+        assertNull(ProcessState.read(text));
+    }
+
+    @Test
+    public void aStateIsReadAsItWasWritten() {
+        ProcessState state = new ProcessState(5, 7, true, 30, Set.of("a1", "b2"));
+        assertEquals(ProcessState.read(state.text()), state);
+        assertEquals(ProcessState.read(new ProcessState(5, 0, false, 30, Set.of()).text()),
+            new ProcessState(5, 0, false, 30, Set.of()));
+    }
+}
--- a/proxy/src/test/java/spurroad/program/OperationTest.java
+++ b/proxy/src/test/java/spurroad/program/OperationTest.java
@@ -33,7 +33,7 @@
             known.set(k);
             done.countDown();
         };
-        s.stands(id, out, told);
+        s.called(id, out, told);
         assertTrue(done.await(20, TimeUnit.SECONDS));
         return known.get();
     }
--- a/proxy/src/test/java/spurroad/program/OverloadTest.java
+++ b/proxy/src/test/java/spurroad/program/OverloadTest.java
@@ -23,7 +23,7 @@
 public class OverloadTest {
     private static final int LONG_BYTES = 400_000;
 
-    private static Service proxy(Peer discovery, int sockets, Peer node) throws IOException {
+    private static Service proxy(Peer discovery, int sockets, Peer node) throws Exception {
         return ServiceTest.proxy(discovery, sockets, target(node));
     }
 
--- a/proxy/src/test/java/spurroad/program/ServiceTest.java
+++ b/proxy/src/test/java/spurroad/program/ServiceTest.java
@@ -40,16 +40,16 @@
         return "HTTP/1.1 200 OK\r\nContent-Length: " + body.length() + "\r\n\r\n" + body;
     }
 
-    static Service service(ProxyStart start) throws IOException {
+    static Service service(ProxyStart start) throws Exception {
         EventLog log = new EventLog();
-        return new Service(start, new Threads(log), log, new Clock());
+        return new Service(start, new Threads(log), log, new Clock(), Handover.of(start, log));
     }
 
-    static Service proxy(Peer discovery, int sockets, String... targets) throws IOException {
+    static Service proxy(Peer discovery, int sockets, String... targets) throws Exception {
         return service(new ProxyStart(Peers.start(discovery.port, sockets, Peers.list(1, true, targets))));
     }
 
-    private static Service proxy(Peer node, Peer origin) throws IOException {
+    private static Service proxy(Peer node, Peer origin) throws Exception {
         return proxy(new Peer(m -> WATCH), 256, Peers.target("s-1", "m1", node.port, "active", 0),
             Peers.target("s-o", "origin", origin.port, "active", 0));
     }
