Places go to those that have a query: claims by kind, half-written ones yield as well

Outside the restarts 99% are in time; while one proxy of two is away, the other sees 45 half-written commands a second, each of which held one of 78 places for 2 s whatever came (lines: placesNeeded looked at idle connections alone). Ruled out there: the processor (level ordinary), the list, nodes.

Change: Claim in core, a table without I/O: query, answered, silent, half; the most overdue beside what its kind may take goes first. 20 descriptors are kept for the process and 20 for calls, after counting 14 and 3 at rest.

What is left is the time after a restart, next.

--- /dev/null
+++ b/core/src/main/java/spurroad/admission/Claim.java
@@ -0,0 +1,27 @@
+package spurroad.admission;
+
+/**
+ * How strong a client's connection's claim to its place is, where places are short. Places are for those that have a
+ * query; of the others, those go first that have been quiet the longest beside what their kind may take.
+ */
+public enum Claim {
+    /** Waits for an answer, or may still be taking one: never asked to go. */
+    QUERY(Long.MAX_VALUE),
+    /** Has had its answers and has asked nothing since; who goes on at once has done so by then. */
+    ANSWERED(50_000_000L),
+    /** Has sent nothing yet; who opens a connection for a query sends it sooner. */
+    SILENT(100_000_000L),
+    /** Has sent a part of a command; slow clients and networks pause, but seldom so long. */
+    HALF(500_000_000L);
+
+    private final long patienceNs; // ns; so long nobody of the kind is asked to go
+
+    Claim(long patienceNs) {
+        this.patienceNs = patienceNs;
+    }
+
+    /** How overdue one is that has been quiet for so long, in nanoseconds; from 1 on it may be closed, the highest first. */
+    public double overdue(long quietNs) {
+        return this == QUERY ? 0 : (double) quietNs / patienceNs;
+    }
+}
--- a/proxy/src/main/java/spurroad/operation/AdminServer.java
+++ b/proxy/src/main/java/spurroad/operation/AdminServer.java
@@ -17,9 +17,9 @@
  * queries delays an answer. Callers are bounded in number and time; those who say nothing make room for the next.
  */
 public final class AdminServer implements Listener.Door {
-    private static final int CALLERS = 24; // connections at a time; a descriptor each
+    private static final int CALLERS = 16; // connections at a time; a descriptor each
     private static final int AT_ONCE = 8; // silent callers sent away, where one is
-    private static final long ROOM_NS = 100_000_000L; // ns; so long at least nobody who is silent is sent away
+    private static final long ROOM_NS = 50_000_000L; // ns; so long at least nobody who is silent is sent away
 
     private final Loop loop;
     private final Listener listener;
--- a/proxy/src/main/java/spurroad/routing/ClientConnection.java
+++ b/proxy/src/main/java/spurroad/routing/ClientConnection.java
@@ -4,6 +4,7 @@
 import java.nio.ByteBuffer;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import spurroad.admission.Claim;
 import spurroad.model.CustomerId;
 import spurroad.model.TrackId;
 import spurroad.protocol.ByteSource;
@@ -45,7 +46,7 @@
     private final Deque<Slot> slots = new ArrayDeque<>();
     private Slot writing; // answered, and not yet taken whole by the system
     private long takingUntil; // while a long answer may still stand in the system's buffers here
-    private long idleSince, begunAt = Long.MAX_VALUE, writingSince = Long.MAX_VALUE;
+    private long idleSince, cameAt, begunAt = Long.MAX_VALUE, writingSince = Long.MAX_VALUE;
     private boolean answered, resting, lost, again, over;
     private int dropped;
 
@@ -79,6 +80,7 @@
             }
             return;
         }
+        cameAt = clients.now();
         in.feed(bytes);
         work();
     }
@@ -333,6 +335,27 @@
         }
     }
 
+    private Claim claim() {
+        if (!slots.isEmpty() || writing != null || lost || clients.now() <= takingUntil) {
+            return Claim.QUERY;
+        }
+        return in.available() > 0 ? Claim.HALF : answered ? Claim.ANSWERED : Claim.SILENT;
+    }
+
+    /** How overdue it is to give up its place, as {@link Claim} has it. */
+    double overdue() {
+        Claim claim = claim();
+        return claim.overdue(clients.now() - (claim == Claim.HALF ? cameAt : idleSince));
+    }
+
+    /** Closes it for one who needs the place, unless something has just come. */
+    void yield() {
+        if (!connection.unread()) {
+            connection.reset();
+            close();
+        }
+    }
+
     /** Closes it where the client takes its answers too slowly for the memory that they hold. */
     void closeIfSlow() {
         if (clients.now() - HOLDING_NS > writingSince) {
--- a/proxy/src/main/java/spurroad/routing/Clients.java
+++ b/proxy/src/main/java/spurroad/routing/Clients.java
@@ -27,6 +27,8 @@
     private static final long QUIET_NS = 1_000_000_000L; // ns; who has asked nothing for so long asks seldom
     private static final long MIB = 1 << 20, NS_PER_MS = 1_000_000L;
 
+    private record Overdue(ClientConnection connection, double by) { }
+
     final Loop loop;
     final EventLog log;
     final Decider decider;
@@ -139,14 +141,14 @@
         c.open();
     }
 
-    /** Closes the clients' connections that have been idle the longest or, if there are none, some to nodes. */
+    /** Closes the clients' connections with the weakest claims or, if there are none, some to nodes. */
     @Override
     public void placesNeeded() {
         log.trouble("no descriptor left for clients", connections.size() + " connected");
-        List<ClientConnection> idle = connections.stream().filter(ClientConnection::idle)
-            .sorted(Comparator.comparingLong(ClientConnection::idleSince)).limit(AT_ONCE).toList();
-        idle.forEach(ClientConnection::closeIfIdle);
-        if (idle.isEmpty()) {
+        List<Overdue> overdue = connections.stream().map(c -> new Overdue(c, c.overdue())).filter(o -> o.by >= 1)
+            .sorted(Comparator.comparingDouble(Overdue::by).reversed()).limit(AT_ONCE).toList();
+        overdue.forEach(o -> o.connection.yield());
+        if (overdue.isEmpty()) {
             decider.placesNeeded();
         }
     }
--- a/proxy/src/main/java/spurroad/start/ProxyStart.java
+++ b/proxy/src/main/java/spurroad/start/ProxyStart.java
@@ -23,8 +23,8 @@
     private static final double CORES = 1, LEAST_CORES = 0.01; // of a core; where no limit is told, one
     private static final double LEAST_MEMORY_MB = 64; // MiB; the virtual machine alone takes 45
     private static final double LEAST_SOCKETS = 64; // descriptors; fewer leave none for clients
-    private static final int OWN_SOCKETS = 32; // descriptors; the virtual machine's: 8 were seen, and room
-    private static final int ADMIN_SOCKETS = 32; // descriptors; of the second address: its callers and what hears them
+    private static final int OWN_SOCKETS = 20; // descriptors; the virtual machine's, loops and the list's: 14 were seen, and room
+    private static final int ADMIN_SOCKETS = 20; // descriptors; of the second address: 16 callers and what hears them
     private static final double OWN_MB = 45; // MiB; the virtual machine at rest
     private static final double HEAP_SHARE = 0.22; // of the memory: queries may hold an eighth, and their garbage
     private static final double PLACE_MB = 0.08; // MiB; a connection with its thread: 77 KiB were seen
