A process that ends lets go of clients that hold it up with half a command

Change: from the end of accepting on, each connection closes with its answer; the others yield as overdue claims do.

--- a/proxy/src/main/java/spurroad/routing/ClientConnection.java
+++ b/proxy/src/main/java/spurroad/routing/ClientConnection.java
@@ -309,8 +309,9 @@
         return slots.isEmpty() && writing == null && in.available() == 0 && !lost;
     }
 
-    long idleSince() {
-        return idleSince;
+    /** Since when nothing has passed on it. */
+    long quietSince() {
+        return Math.max(idleSince, cameAt);
     }
 
     /**
@@ -344,8 +345,7 @@
 
     /** How overdue it is to give up its place, as {@link Claim} has it. */
     double overdue() {
-        Claim claim = claim();
-        return claim.overdue(clients.now() - (claim == Claim.HALF ? cameAt : idleSince));
+        return claim().overdue(clients.now() - quietSince());
     }
 
     /** Closes it for one who needs the place, unless something has just come. */
--- a/proxy/src/main/java/spurroad/routing/Clients.java
+++ b/proxy/src/main/java/spurroad/routing/Clients.java
@@ -24,7 +24,6 @@
     private static final int AT_ONCE = 4; // connections; closed at a shortage, so that it is not one again at once
     private static final int CROWD = 4; // one part in so many of the places: as many open queries are rare
     private static final long TIDY_NS = 100_000_000L; // ns; between looks at who says nothing; some microseconds each
-    private static final long QUIET_NS = 1_000_000_000L; // ns; who has asked nothing for so long asks seldom
     private static final long MIB = 1 << 20, NS_PER_MS = 1_000_000L;
 
     private record Overdue(ClientConnection connection, double by) { }
@@ -173,18 +172,18 @@
 
     /**
      * Others serve from now on: each connection closes with the answer that it waits for, and those without a query once
-     * they have been quiet for long enough that hardly a command crosses the close.
+     * they have been quiet for so long, in nanoseconds.
      */
-    public void letGo() {
+    public void letGo(long quietNs) {
         ending = true;
-        loop.tell(this::closeQuiet);
+        loop.tell(() -> closeQuiet(quietNs));
     }
 
-    private void closeQuiet() {
-        List.copyOf(connections).stream().filter(c -> now() - c.idleSince() > QUIET_NS)
-            .forEach(ClientConnection::closeIfIdle);
+    private void closeQuiet(long quietNs) {
+        List.copyOf(connections).stream().filter(c -> now() - c.quietSince() > quietNs && c.overdue() >= 1)
+            .forEach(ClientConnection::yield);
         if (!connections.isEmpty()) {
-            loop.after(TIDY_NS, this::closeQuiet);
+            loop.after(TIDY_NS, () -> closeQuiet(quietNs));
         }
     }
 
