Long values pass through: 64 KiB held at most, nodes read no faster than clients take

Ruled out: memory (66 of 144 MB) and descriptors.

A command may take its time while something of it comes every 2.2 s.

--- a/proxy/src/main/java/spurroad/program/Service.java
+++ b/proxy/src/main/java/spurroad/program/Service.java
@@ -33,8 +33,6 @@
     private static final long GRACE_NS = 650_000_000L; // ns; after the longest wait, before it may be killed: 0.7 s
     private static final long LAST_NS = 400_000_000L; // ns; what comes last still has so long for its answer
     private static final long MOST_ON_NS = 2_500_000_000L; // ns; whoever takes over is up by then
-    private static final long QUIET_NS = 1_000_000_000L; // ns; beside a successor: hardly a command crosses a close
-    private static final long RESTED_NS = 100_000_000L; // ns; else: who is back sooner serves sooner
     private static final long LOOK_MS = 5; // ms; how often it is looked whether all clients are gone
     private static final long LONGEST_END_NS = 10_000_000_000L; // ns; longer than clients wait
 
@@ -180,11 +178,12 @@
         while (System.nanoTime() - since < STILL_ACCEPT_NS && !handedOver()) {
             Thread.sleep(LOOK_MS);
         }
-        boolean handedOver = handedOver();
-        if (handedOver) {
+        if (handedOver()) {
             listener.leave();
+            clients.letGo();
+        } else {
+            clients.letGoQuiet();
         }
-        clients.letGo(handedOver ? QUIET_NS : RESTED_NS);
         // with no place left it can't take those who wait, and clients have to go first
         boolean closed = listener.end(CLOSING_MS);
         long on = Math.min(MOST_ON_NS, killed - LAST_NS);
--- a/proxy/src/main/java/spurroad/program/SharedFolder.java
+++ b/proxy/src/main/java/spurroad/program/SharedFolder.java
@@ -3,8 +3,10 @@
 import java.io.IOException;
 import java.nio.channels.FileChannel;
 import java.nio.channels.FileLock;
+import java.nio.channels.OverlappingFileLockException;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
+import java.nio.file.NoSuchFileException;
 import java.nio.file.Path;
 import java.nio.file.StandardCopyOption;
 import java.nio.file.StandardOpenOption;
@@ -86,8 +88,10 @@
                 Files.deleteIfExists(lock);
             }
             return free == null;
-        } catch (java.nio.file.NoSuchFileException e) {
+        } catch (NoSuchFileException e) {
             return false;
+        } catch (OverlappingFileLockException e) {
+            return true; // held within this process: by a proxy beside this one
         }
     }
 
@@ -147,7 +151,7 @@
     private static String text(Path file) throws IOException {
         try {
             return new String(Files.readAllBytes(file), StandardCharsets.UTF_8); // whatever it holds
-        } catch (java.nio.file.NoSuchFileException e) {
+        } catch (NoSuchFileException e) {
             return null;
         }
     }
--- a/proxy/src/main/java/spurroad/protocol/ByteSource.java
+++ b/proxy/src/main/java/spurroad/protocol/ByteSource.java
@@ -5,6 +5,7 @@
 import java.io.InputStream;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
 
 /**
  * A stream read by lines and lengths, both bounded; its text is one character a byte, so nothing is lost. It reads from
@@ -71,6 +72,19 @@
         to = size;
     }
 
+    /** What has come of a long value, up to a count, in an array of its own; only between two messages. */
+    public byte[] take(long most) {
+        byte[] taken = Arrays.copyOfRange(buffer, from, from + (int) Math.min(most, to - from));
+        from += taken.length;
+        mark = from;
+        need = 0;
+        if (from == to) {
+            buffer = NOTHING;
+            from = to = mark = 0;
+        }
+        return taken;
+    }
+
     /** Nothing more comes. */
     public void end() {
         ended = true;
--- a/proxy/src/main/java/spurroad/protocol/Http.java
+++ b/proxy/src/main/java/spurroad/protocol/Http.java
@@ -18,6 +18,7 @@
     private static final int MOST_HEAD_LINE = 8192; // bytes; the usual bound of servers
     private static final int MOST_HEADERS = 100; // lines; the usual bound of servers
     private static final int MOST_LIST_LINE = 1024 * 1024; // bytes; six thousand nodes, which the heap still holds
+    private static final int MOST_UNTOLD = MetaCommand.LONG_VALUE; // bytes; of a body whose length is not told ahead
     private static final Set<String> FRAMING = Set.of("content-length", "transfer-encoding"); // where a body ends
     private static final String PLAIN = "-._~"; // besides letters and digits, what a path holds as it is
 
@@ -40,22 +41,22 @@
     private Http() { }
 
     public static byte[] get(String target, String host) {
-        return request("GET", target, host, Map.of(), null);
+        return request("GET", target, host, Map.of(), 0, null);
     }
 
-    /** The origin's form of a query: the id and the list of names and values go on as they came. */
+    /** The origin's form of a query, but for a long value: the id and the list of names and values go on as they came. */
     public static byte[] forOrigin(MetaCommand c, String host) {
         Map<String, String> headers = Map.of("X-Request-Id", c.id(), "X-Extras", c.extras());
         boolean write = c.kind == MetaCommand.Kind.WRITE;
-        return request(write ? "PUT" : "GET", "/" + encoded(c.key()), host, headers, write ? c.value : null);
+        return request(write ? "PUT" : "GET", "/" + encoded(c.key()), host, headers, c.length(), write ? c.value : null);
     }
 
     private static byte[] request(String method, String target, String host, Map<String, String> headers,
-                                  byte[] body) {
+                                  int length, byte[] body) {
         StringBuilder head = new StringBuilder(method + " " + target + " HTTP/1.1\r\nHost: " + host + "\r\n");
         headers.forEach((name, value) -> head.append(name).append(": ").append(value).append("\r\n"));
         if (body != null) {
-            head.append("Content-Length: ").append(body.length).append("\r\n");
+            head.append("Content-Length: ").append(length).append("\r\n");
         }
         byte[] start = head.append("\r\n").toString().getBytes(StandardCharsets.ISO_8859_1);
         byte[] whole = Arrays.copyOf(start, start.length + (body == null ? 0 : body.length));
@@ -114,8 +115,15 @@
     /** Reads what the origin says to the query. */
     public static Reply read(ByteSource in, MetaCommand query) throws IOException {
         Head head = head(in);
-        byte[] body = body(in, head);
+        long told = head.chunked() ? -1 : Numbers.whole(head.headers.getOrDefault("content-length", ""));
+        boolean passes = head.status == 200 && told > MetaCommand.LONG_VALUE && told <= MetaCommand.MOST_VALUE
+            && query != null && query.kind == MetaCommand.Kind.READ;
+        byte[] body = passes ? null : body(in, head);
         LoadReport load = Pairs.load(Pairs.read(head.headers.getOrDefault("x-load", "")));
+        if (passes) {
+            return new Reply(Outcome.COMPLETED, CacheNote.NONE, load, MetaReply.text(MetaReply.valueLine(told, query.id())),
+                head.more(), new Reply.Rest(told, false));
+        }
         boolean notRun = (head.status == 503 || head.status == 504)
             && "1".equals(head.headers.get("x-not-run"));
         Outcome outcome = head.status == 200 ? Outcome.COMPLETED : notRun ? Outcome.TURNED_AWAY : Outcome.ERROR;
@@ -144,7 +152,7 @@
         for (long size = chunk(in); size > 0; size = chunk(in)) {
             byte[] part = exactly(in, size);
             in.lineEnd();
-            if (body.size() + part.length > MetaCommand.MOST_VALUE) {
+            if (body.size() + part.length > MOST_UNTOLD) {
                 throw new ProtocolException("a body of impossible length");
             }
             body.writeBytes(part);
@@ -158,7 +166,7 @@
     }
 
     private static byte[] rest(ByteSource in) throws IOException {
-        byte[] body = new byte[MetaCommand.MOST_VALUE + 1];
+        byte[] body = new byte[MOST_UNTOLD + 1];
         int length = 0;
         for (int n = 0; n >= 0 && length < body.length; n = in.some(body, length, body.length - length)) {
             length += n;
@@ -170,7 +178,7 @@
     }
 
     private static byte[] exactly(ByteSource in, long length) throws IOException {
-        if (length < 0 || length > MetaReply.MOST_ANSWER) {
+        if (length < 0 || length > MetaCommand.MOST_VALUE) {
             throw new ProtocolException("a body of impossible length");
         }
         return in.bytes((int) length);
--- a/proxy/src/main/java/spurroad/protocol/MetaCommand.java
+++ b/proxy/src/main/java/spurroad/protocol/MetaCommand.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Set;
 
 /**
@@ -12,7 +13,9 @@
 public final class MetaCommand {
     public enum Kind { READ, WRITE, READY, FAULT }
 
-    public static final int MOST_VALUE = 64 * 1024; // bytes; the protocol's
+    public static final int MOST_VALUE = 4 * 1024 * 1024; // bytes; the longest that clients and nodes have
+    /** Bytes; a value that is longer is not read with its command, but in pieces. */
+    public static final int LONG_VALUE = 64 * 1024;
     static final int MOST_LINE = 2048; // bytes; several times what a command with all its figures takes
     private static final int MOST_KEY = 250; // bytes; memcache's
     private static final int MOST_ID = 32; // bytes; memcache's
@@ -28,6 +31,8 @@
     /** Whether nothing after a fault can be told apart. */
     public final boolean lost;
     public final byte[] value;
+    private List<byte[]> pieces = List.of();
+    private int longLength;
     private final String line;
     // places in the line: the words of a query, the id and the list without the letters that mark them
     private int words, keyFrom, keyTo, thirdFrom, thirdTo, idAt, idFrom, idTo, listFrom, listTo;
@@ -83,6 +88,11 @@
         if (length < 0 || length > MOST_VALUE) {
             return fault("CLIENT_ERROR bad length", true);
         }
+        if (length > LONG_VALUE) {
+            MetaCommand head = query(new MetaCommand(Kind.WRITE, null, false, line, NO_VALUE));
+            head.longLength = (int) length;
+            return head.kind == Kind.FAULT ? fault(head.fault, true) : head;
+        }
         byte[] value = in.bytes((int) length);
         try {
             in.lineEnd();
@@ -223,6 +233,26 @@
         return -1;
     }
 
+    /** The length of its value. */
+    public int length() {
+        return Math.max(longLength, value.length);
+    }
+
+    /** Whether its value is a long one, which comes after it in pieces. */
+    public boolean isLong() {
+        return longLength > 0;
+    }
+
+    /** Gives it its long value, once that is there whole. */
+    public void pieces(List<byte[]> whole) {
+        pieces = whole;
+    }
+
+    /** Its long value; not to be changed. */
+    public List<byte[]> pieces() {
+        return pieces;
+    }
+
     public String key() {
         return line.substring(keyFrom, keyTo);
     }
@@ -261,10 +291,10 @@
         return Math.max(0, whole("h"));
     }
 
-    /** The command for a cache node: as it came, but for how long the proxy will wait. */
+    /** The command for a cache node: as it came, but for how long the proxy will wait; without a long value. */
     public byte[] forNode(long waitMs) {
         int at = valueAt("d");
         String changed = line.substring(0, at) + waitMs + line.substring(partEnd(at));
-        return kind == Kind.READ ? MetaReply.text(changed) : MetaReply.withValue(changed, value);
+        return kind == Kind.READ || isLong() ? MetaReply.text(changed) : MetaReply.withValue(changed, value);
     }
 }
--- a/proxy/src/main/java/spurroad/protocol/MetaReply.java
+++ b/proxy/src/main/java/spurroad/protocol/MetaReply.java
@@ -11,8 +11,6 @@
 
 /** The meta commands' answers: those of cache nodes read, those to clients written. */
 public final class MetaReply {
-    /** Bytes; nodes have given values of 400 KB, six times what the protocol has for clients. */
-    static final int MOST_ANSWER = 1024 * 1024;
     private static final int MOST_STATS = 64; // lines; a report has four fields at most
     private static final byte[] PROBE = "stats load\r\n".getBytes(StandardCharsets.ISO_8859_1);
 
@@ -27,9 +25,14 @@
         switch (tokens[0]) {
             case "VA":
                 long length = tokens.length < 2 ? -1 : Numbers.whole(tokens[1]);
-                if (length < 0 || length > MOST_ANSWER) {
+                if (length < 0 || length > MetaCommand.MOST_VALUE) {
                     throw new ProtocolException("a value of impossible length, " + line);
                 }
+                if (length > MetaCommand.LONG_VALUE) {
+                    sameId(tokens, id);
+                    return new Reply(Outcome.COMPLETED, note, load, text(valueLine(length, id)), true,
+                        new Reply.Rest(length, true));
+                }
                 in.need((int) length);
                 byte[] answer = withRoom(valueLine((int) length, id), (int) length);
                 in.bytes(answer, answer.length - 2 - (int) length, (int) length);
@@ -99,7 +102,7 @@
         return withValue(valueLine(value.length, id), value);
     }
 
-    private static String valueLine(int length, String id) {
+    static String valueLine(long length, String id) {
         return "VA " + length + " O" + id;
     }
 
@@ -140,6 +143,11 @@
         return text("MN");
     }
 
+    /** What follows a value. */
+    public static byte[] lineEnd() {
+        return text("");
+    }
+
     /** A line as it goes out. */
     public static byte[] text(String line) {
         return (line + "\r\n").getBytes(StandardCharsets.ISO_8859_1);
--- a/proxy/src/main/java/spurroad/routing/ClientConnection.java
+++ b/proxy/src/main/java/spurroad/routing/ClientConnection.java
@@ -10,6 +10,7 @@
 import spurroad.protocol.ByteSource;
 import spurroad.protocol.MetaCommand;
 import spurroad.protocol.MetaReply;
+import spurroad.protocol.ProtocolException;
 import spurroad.transport.Connection;
 
 /**
@@ -23,9 +24,12 @@
     private static final long REST_NS = 50_000_000L; // ns; a client that goes on at once has done so by then
     private static final long FRESH_NS = 250_000_000L; // ns; who opens a connection for a query sends it sooner
     private static final long HOLDING_NS = 1_000_000_000L; // ns; for guests, and for answers where memory is short
-    private static final long IDLE_NS = 2_000_000_000L; // ns; so long without a whole command: owed a word or a close
+    private static final long IDLE_NS = 2_200_000_000L; // ns; so long without a byte of a command: owed a word or a close; heads take 2 s
+    private static final long LONGEST_NS = 20_000_000_000L; // ns; for a command without a long value
+    private static final long ROOM_NS = 20_000_000L; // ns; between looks for room for a long value
     private static final long CROWDED_NS = 300_000_000L; // ns; the same after an answer where many are connected
     private static final long FAULT_REST_NS = 100_000_000L; // ns; who sends nonsense again at once costs others nothing
+    private static final int PASSING_BYTES = 64 * 1024; // bytes; of a long value that wait for the client, at most
     private static final int LONG_BYTES = 16 * 1024; // bytes; a shorter answer fits whole into the client's buffers
     private static final int LAST_BYTES = 256 * 1024; // bytes; read on after a last answer, so that it arrives
 
@@ -34,6 +38,8 @@
         private Query query;
         private Results.OfClass results; // of the query's class; null where it is no query
         private Results.End end;
+        private Passage passage; // the long value that follows the answer
+        private long uploadRoom;
         private long queryRoom, answerRoom;
         private byte[] answer;
         private boolean last;
@@ -48,6 +54,9 @@
     private long takingUntil; // while a long answer may still stand in the system's buffers here
     private long idleSince, cameAt, begunAt = Long.MAX_VALUE, writingSince = Long.MAX_VALUE;
     private boolean answered, resting, lost, again, over;
+    private Upload upload; // the long value that is coming in
+    private long uploadRoom, seen; // what it holds; bytes that the client had taken at the last look
+    private boolean noRoom;
     private int dropped;
 
     ClientConnection(Clients clients, Connection connection, boolean guest) {
@@ -81,8 +90,13 @@
             return;
         }
         cameAt = clients.now();
-        in.feed(bytes);
-        work();
+        if (upload != null) {
+            upload(bytes);
+        }
+        if (bytes.hasRemaining() && !lost && !over) {
+            in.feed(bytes);
+            work();
+        }
     }
 
     @Override
@@ -93,7 +107,7 @@
     /** Takes the commands that are there whole, as many as may wait for their answers. */
     private void work() {
         int taken = 0;
-        while (!over && !lost && !resting && waiting() < MOST_WAITING && in.worthReading()) {
+        while (!over && !lost && !resting && upload == null && waiting() < MOST_WAITING && in.worthReading()) {
             if (taken++ == AT_A_TURN) {
                 workAgain();
                 break;
@@ -102,15 +116,69 @@
             if (command == null) {
                 break;
             }
-            taken(command);
+            if (command.isLong() && command.kind == MetaCommand.Kind.WRITE) {
+                begin(new Upload(command));
+            } else {
+                taken(command, 0);
+            }
         }
         if (!over) {
-            boolean reads = !resting && !again && waiting() < MOST_WAITING;
+            boolean reads = !resting && !again && waiting() < MOST_WAITING && !noRoom;
             begunAt = reads && !lost && in.available() > 0 ? Math.min(begunAt, clients.now()) : Long.MAX_VALUE;
             connection.reading(reads || lost);
         }
     }
 
+    /** Its value is read once there is room for all of it; until then it waits with the client. */
+    private void begin(Upload next) {
+        upload = next;
+        noRoom = !clients.uploads.take(next.command.length());
+        if (noRoom) {
+            connection.reading(false);
+            clients.loop.after(ROOM_NS, () -> {
+                if (!over) {
+                    begin(next);
+                }
+            });
+            return;
+        }
+        uploadRoom = next.command.length();
+        connection.reading(true);
+        cameAt = clients.now(); // it was not read from
+        if (in.available() > 0) {
+            upload(ByteBuffer.wrap(in.take(in.available())));
+        }
+    }
+
+    private void upload(ByteBuffer bytes) {
+        if (noRoom) {
+            in.feed(bytes);
+            return;
+        }
+        try {
+            if (!upload.take(bytes)) {
+                return;
+            }
+            MetaCommand whole = upload.command;
+            long room = uploadRoom;
+            upload = null;
+            uploadRoom = 0;
+            if (bytes.hasRemaining()) {
+                in.feed(bytes);
+            }
+            taken(whole, room);
+            work();
+        } catch (ProtocolException e) {
+            clients.uploads.give(uploadRoom);
+            uploadRoom = 0;
+            upload = null;
+            Slot slot = new Slot();
+            slots.add(slot);
+            slot.answer = fault(slot, e.getMessage(), true);
+            flush();
+        }
+    }
+
     private int waiting() {
         return slots.size() + (writing == null ? 0 : 1);
     }
@@ -137,8 +205,9 @@
         }
     }
 
-    private void taken(MetaCommand command) {
+    private void taken(MetaCommand command, long uploadRoomHeld) {
         Slot slot = new Slot();
+        slot.uploadRoom = uploadRoomHeld;
         slots.add(slot);
         slot.answer = switch (command.kind) {
             case FAULT -> fault(slot, command.fault, command.lost);
@@ -200,13 +269,17 @@
     // ---- answers
 
     /** Told by the decider: the one final answer of a query. */
-    void answer(Query q, byte[] answer, Results.End end) {
+    void answer(Query q, byte[] answer, Results.End end, Passage passage) {
+        if (over && passage != null) {
+            passage.giveUp();
+        }
         for (Slot slot : slots) {
             if (slot.query == q) {
                 slot.answer = answer;
                 slot.end = end;
-                slot.answerRoom = answer.length;
-                clients.owe(answer.length);
+                slot.passage = passage;
+                slot.answerRoom = answer.length + (passage == null ? 0 : PASSING_BYTES);
+                clients.owe(slot.answerRoom);
             }
         }
         flush();
@@ -222,7 +295,9 @@
             }
             writingSince = clients.now();
             connection.write(writing.answer);
-            if (connection.isDrained()) {
+            if (writing.passage != null) {
+                writing.passage.begin(this);
+            } else if (connection.isDrained()) {
                 written();
             }
         }
@@ -230,22 +305,53 @@
 
     @Override
     public void drained() {
-        if (writing != null) {
+        if (writing != null && writing.passage != null) {
+            writing.passage.drained();
+        } else if (writing != null) {
             written();
             flush();
             work();
         }
     }
 
+    // ---- told by a long value that passes
+
+    /** Whether all that was passed has been taken by the system. */
+    boolean takesMore() {
+        return !over && connection.isDrained();
+    }
+
+    void passed(ByteBuffer bytes) {
+        connection.write(bytes);
+    }
+
+    /** The value has passed whole; what follows it ends the answer. */
+    void passedWhole(byte[] end) {
+        writing.passage = null;
+        connection.write(end);
+        if (connection.isDrained()) {
+            clients.loop.tell(this::drained); // not at once: its node's connection is still at work
+        }
+    }
+
+    /** The rest of the value will not come; a reset inside it tells the client so. */
+    void passageBroke() {
+        if (writing != null) {
+            ended(writing, Results.End.ABORTED);
+        }
+        connection.reset();
+        close();
+    }
+
     private void written() {
         Slot slot = writing;
         writing = null;
         writingSince = Long.MAX_VALUE;
         ended(slot, slot.end);
-        giveRoom(slot);
         idleSince = clients.now();
         answered = true;
-        takingUntil = slot.answer.length > LONG_BYTES ? idleSince + SLOW_NS : takingUntil;
+        takingUntil = slot.answerRoom > LONG_BYTES ? idleSince + SLOW_NS : takingUntil;
+        giveRoom(slot);
         if (slot.last) {
             endOnceTaken();
         } else if ((guest || clients.ending()) && isBetweenCommands() && !connection.unread()) {
@@ -275,7 +381,8 @@
     private void giveRoom(Slot slot) {
         clients.room.give(slot.queryRoom);
         clients.room.give(slot.answerRoom);
-        slot.queryRoom = slot.answerRoom = 0;
+        clients.uploads.give(slot.uploadRoom);
+        slot.queryRoom = slot.answerRoom = slot.uploadRoom = 0;
     }
 
     // ---- the end
@@ -293,12 +400,20 @@
                 }
             }
             ended(slot, Results.End.LEFT);
+            if (slot.passage != null) {
+                slot.passage.giveUp();
+            }
             giveRoom(slot);
         }
         if (writing != null) {
             ended(writing, Results.End.LEFT);
+            if (writing.passage != null) {
+                writing.passage.giveUp();
+            }
             giveRoom(writing);
         }
+        clients.uploads.give(uploadRoom);
+        uploadRoom = 0;
         slots.clear();
         writing = null;
         connection.close();
@@ -306,7 +421,7 @@
     }
 
     private boolean isBetweenCommands() {
-        return slots.isEmpty() && writing == null && in.available() == 0 && !lost;
+        return slots.isEmpty() && writing == null && in.available() == 0 && upload == null && !lost;
     }
 
     /** Since when nothing has passed on it. */
@@ -337,10 +452,10 @@
     }
 
     private Claim claim() {
-        if (!slots.isEmpty() || writing != null || lost || clients.now() <= takingUntil) {
+        if (!slots.isEmpty() || writing != null || lost || noRoom || clients.now() <= takingUntil) {
             return Claim.QUERY;
         }
-        return in.available() > 0 ? Claim.HALF : answered ? Claim.ANSWERED : Claim.SILENT;
+        return in.available() > 0 || upload != null ? Claim.HALF : answered ? Claim.ANSWERED : Claim.SILENT;
     }
 
     /** How overdue it is to give up its place, as {@link Claim} has it. */
@@ -358,7 +473,7 @@
 
     /** Closes it where the client takes its answers too slowly for the memory that they hold. */
     void closeIfSlow() {
-        if (clients.now() - HOLDING_NS > writingSince) {
+        if (clients.now() - HOLDING_NS > writingSince && (writing == null || writing.passage == null)) {
             close();
         }
     }
@@ -366,7 +481,13 @@
     /** To be called now and then: closes it if it takes no answers, sends half a command, or says nothing. */
     void tidy(boolean crowded) {
         long now = clients.now();
-        if (now - (guest ? HOLDING_NS : IDLE_NS) > begunAt || now - SLOW_NS > writingSince) {
+        if (connection.taken() != seen) {
+            seen = connection.taken();
+            writingSince = writing == null ? writingSince : now;
+        }
+        boolean half = begunAt != Long.MAX_VALUE || upload != null && !noRoom;
+        boolean stalled = half && now - (guest ? HOLDING_NS : IDLE_NS) > cameAt || now - LONGEST_NS > begunAt;
+        if (stalled || now - SLOW_NS > writingSince && !connection.isDrained()) {
             close(); // the rest of a command has not come for long, which was never taken; or nobody reads
         } else if (now - idleSince > (crowded ? crowdedNs() : quietNs())) {
             closeIfIdle();
--- a/proxy/src/main/java/spurroad/routing/Clients.java
+++ b/proxy/src/main/java/spurroad/routing/Clients.java
@@ -24,6 +24,7 @@
     private static final int AT_ONCE = 4; // connections; closed at a shortage, so that it is not one again at once
     private static final int CROWD = 4; // one part in so many of the places: as many open queries are rare
     private static final long TIDY_NS = 100_000_000L; // ns; between looks at who says nothing; some microseconds each
+    private static final long QUIET_NS = 1_000_000_000L; // ns; who has asked nothing for so long asks seldom
     private static final long MIB = 1 << 20, NS_PER_MS = 1_000_000L;
 
     private record Overdue(ClientConnection connection, double by) { }
@@ -32,6 +33,7 @@
     final EventLog log;
     final Decider decider;
     final Room room;
+    final Room uploads; // for long values that come in, besides
     final Gate gate;
     private final Set<ClientConnection> connections = new LinkedHashSet<>();
     private volatile int count; // of them, for other threads
@@ -56,6 +58,7 @@
         take(start.figures);
         long memory = Math.min(start.memoryMb * MIB / ROOM_SHARE, Runtime.getRuntime().maxMemory() / HEAP_SHARE);
         room = new Room(Math.min(memory, (long) start.figures.mostOpen * QUERY_BYTES));
+        uploads = new Room(Math.max(MetaCommand.MOST_VALUE, memory / 2));
         gate = new Gate(start, loop, log, room, decider);
         decider.gated(gate);
         loop.tell(this::tidy);
@@ -170,20 +173,25 @@
         return ending;
     }
 
+    /** Others serve from now on: each connection closes with the answer that it waits for, or once it is quiet. */
+    public void letGo() {
+        ending = true;
+        letGoQuiet();
+    }
+
     /**
-     * Others serve from now on: each connection closes with the answer that it waits for, and those without a query once
-     * they have been quiet for so long, in nanoseconds.
+     * Those who have asked nothing for so long that hardly a command crosses it are closed from now on, whether they
+     * never asked, sent half a command or had their answers.
      */
-    public void letGo(long quietNs) {
-        ending = true;
-        loop.tell(() -> closeQuiet(quietNs));
+    public void letGoQuiet() {
+        loop.tell(this::closeQuiet);
     }
 
-    private void closeQuiet(long quietNs) {
-        List.copyOf(connections).stream().filter(c -> now() - c.quietSince() > quietNs && c.overdue() >= 1)
+    private void closeQuiet() {
+        List.copyOf(connections).stream().filter(c -> now() - c.quietSince() > QUIET_NS && c.overdue() >= 1)
             .forEach(ClientConnection::yield);
         if (!connections.isEmpty()) {
-            loop.after(TIDY_NS, () -> closeQuiet(quietNs));
+            loop.after(TIDY_NS, this::closeQuiet);
         }
     }
 
--- a/proxy/src/main/java/spurroad/routing/Decider.java
+++ b/proxy/src/main/java/spurroad/routing/Decider.java
@@ -64,10 +64,10 @@
         }
     }
 
-    private record Answered(Query q, byte[] answer, Results.End end) implements Runnable {
+    private record Answered(Query q, byte[] answer, Results.End end, Passage passage) implements Runnable {
         @Override
         public void run() {
-            q.client.answer(q, answer, end);
+            q.client.answer(q, answer, end, passage);
         }
     }
 
@@ -252,7 +252,9 @@
             if (reply.outcome() == Outcome.COMPLETED && !q.over) {
                 q.over = true;
                 tally.completed();
-                forLoop.add(new Answered(q, reply.answer(), Results.End.SUCCEEDED));
+                forLoop.add(new Answered(q, reply.answer(), Results.End.SUCCEEDED, e.passage));
+            } else if (e.passage != null) {
+                forLoop.add(e.passage::giveUp);
             }
             balance.ended(clock.now(), q.id, e.number, reply.outcome(), reply.note(), reply.load(), q.over,
                 stalls.total() - e.stalledNs, fresh());
@@ -432,7 +434,8 @@
                 q.over = true;
                 tally.answered(a.rejected());
                 byte[] answer = a.rejected() ? MetaReply.rejected(a.comeBackNs() / NS_PER_MS) : MetaReply.aborted();
-                forLoop.add(new Answered(q, answer, a.rejected() ? Results.End.DECLINED : Results.End.ABORTED));
+                forLoop.add(new Answered(q, answer, a.rejected() ? Results.End.DECLINED : Results.End.ABORTED,
+                    null));
             }
             forget(q);
         }
--- a/proxy/src/main/java/spurroad/routing/Dialect.java
+++ b/proxy/src/main/java/spurroad/routing/Dialect.java
@@ -9,9 +9,12 @@
 
 /** How a node is spoken to: one message out, one reply back. Another protocol would be one more of these. */
 interface Dialect {
-    /** The message for a query that is waited for that long; null stands for a probe. */
+    /** The message for a query that is waited for that long, without a long value; null stands for a probe. */
     byte[] message(MetaCommand query, long waitMs);
 
+    /** What follows a long value that was sent after the message. */
+    byte[] afterValue();
+
     /** The reply to such a message. */
     Reply reply(ByteSource in, MetaCommand query) throws IOException;
 
@@ -22,6 +25,11 @@
             return query == null ? MetaReply.probe() : query.forNode(waitMs);
         }
 
+        @Override
+        public byte[] afterValue() {
+            return MetaReply.lineEnd();
+        }
+
         @Override
         public Reply reply(ByteSource in, MetaCommand query) throws IOException {
             return query == null ? MetaReply.readProbe(in) : MetaReply.read(in, query.id());
@@ -36,6 +44,11 @@
                 return query == null ? Http.get("/_load", host) : Http.forOrigin(query, host);
             }
 
+            @Override
+            public byte[] afterValue() {
+                return new byte[0];
+            }
+
             @Override
             public Reply reply(ByteSource in, MetaCommand query) throws IOException {
                 return query == null ? Http.readProbe(in) : Http.read(in, query);
--- a/proxy/src/main/java/spurroad/routing/Errand.java
+++ b/proxy/src/main/java/spurroad/routing/Errand.java
@@ -18,6 +18,8 @@
     /** How long the proxy had been held up when this was decided on. */
     final long stalledNs;
     boolean ended;
+    /** The long value of its answer, where it has one. */
+    Passage passage;
 
     Errand(Query query, int number, NodeActor node, long until, long stalledNs) {
         this.query = query;
--- a/proxy/src/main/java/spurroad/routing/NodeActor.java
+++ b/proxy/src/main/java/spurroad/routing/NodeActor.java
@@ -240,14 +240,27 @@
             return;
         }
         c.errand = null;
-        if (reply.more() && !gone && !held && c.generation == generation) {
+        free(c, reply.more());
+        end(e, reply);
+    }
+
+    /** An answer with a long value has begun: the errand has ended, its connection stays with the client's. */
+    void answers(NodeConnection c, Errand e, Reply reply) {
+        if (!c.closed) {
+            c.errand = null;
+            end(e, reply);
+        }
+    }
+
+    /** It carries nothing any more. */
+    void free(NodeConnection c, boolean more) {
+        if (more && !gone && !held && c.generation == generation) {
             c.idleSince = now();
             idle.addLast(c);
             watchIdle();
         } else {
             c.close();
         }
-        end(e, reply);
     }
 
     void broken(NodeConnection c) {
--- a/proxy/src/main/java/spurroad/routing/NodeConnection.java
+++ b/proxy/src/main/java/spurroad/routing/NodeConnection.java
@@ -3,7 +3,9 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
+import java.util.Arrays;
 import spurroad.protocol.ByteSource;
+import spurroad.protocol.MetaReply;
 import spurroad.protocol.ProtocolException;
 import spurroad.protocol.Reply;
 import spurroad.transport.Connection;
@@ -16,6 +18,8 @@
 final class NodeConnection implements Connection.User {
     private static final String TO_NOTHING = "an answer to nothing";
     private static final long STALL_NS = 300_000_000L; // ns; inside an answer: one that was given whole arrives sooner
+    private static final long PASSAGE_STALL_NS = 2_500_000_000L; // ns; inside a long value that is being read
+    private static final byte[] LINE_END = MetaReply.lineEnd();
     private static final long NS_PER_MS = 1_000_000L;
     private final NodeActor node;
     private final Dialect dialect;
@@ -24,6 +28,8 @@
     private Connection connection;
     private Loop.Alarm alarm; // for the connect, or for the rest of an answer
     private long cameAt;
+    private Passage passage; // while a long value is on its way to a client
+    private boolean more; // whether the connection can carry another after that
     // the node actor's
     /** What it carries now; null while idle. */
     Errand errand;
@@ -65,6 +71,10 @@
     void write(Errand e) {
         long waitMs = Math.max(1, (e.until - node.now()) / NS_PER_MS);
         connection.write(dialect.message(e.command(), waitMs));
+        if (e.query != null && e.command().isLong()) {
+            e.command().pieces().forEach(connection::write);
+            connection.write(dialect.afterValue());
+        }
         if (connection.isDrained() && !connection.closed()) {
             node.written(e);
         }
@@ -79,12 +89,83 @@
 
     @Override
     public void came(ByteBuffer bytes) {
-        in.feed(bytes);
         cameAt = node.now();
-        read();
+        if (passage != null && in.available() == 0 && passage.left() > 0 && passage.wanted()) {
+            pass(bytes);
+        }
+        if (bytes.hasRemaining() && !closed) {
+            in.feed(bytes);
+            read();
+        }
+    }
+
+    /** The part of what is there that belongs to the value. */
+    private void pass(ByteBuffer bytes) {
+        int n = (int) Math.min(bytes.remaining(), passage.left());
+        ByteBuffer part = bytes.duplicate().limit(bytes.position() + n);
+        bytes.position(bytes.position() + n);
+        passage.came(part);
+        if (!closed) {
+            passOn();
+        }
+    }
+
+    /** Passes on what is there while the client takes it, then reads on. */
+    void passOn() {
+        while (!closed && passage != null && passage.left() > 0 && in.available() > 0 && passage.wanted()) {
+            passage.came(ByteBuffer.wrap(in.take(passage.left())));
+        }
+        if (closed || passage == null) {
+            return;
+        }
+        if (passage.left() == 0) {
+            finish();
+        } else {
+            boolean on = passage.wanted();
+            connection.reading(on);
+            watchPassage(on);
+        }
+    }
+
+    /** The value has passed; its end is looked at before the client is given one. */
+    private void finish() {
+        connection.reading(true);
+        if (passage.lineEnd()) {
+            if (in.available() < LINE_END.length) {
+                watchPassage(true);
+                return;
+            }
+            if (!Arrays.equals(in.take(LINE_END.length), LINE_END)) {
+                node.unusable("no line end after a value");
+                cut();
+                return;
+            }
+        }
+        Passage done = passage;
+        passage = null;
+        alarm.cancel();
+        done.whole();
+        node.free(this, more && in.available() == 0);
+    }
+
+    private void watchPassage(boolean on) {
+        alarm.cancel();
+        if (on) {
+            alarm = node.loop().after(PASSAGE_STALL_NS, this::cut);
+        }
+    }
+
+    /** Nobody takes the value: this connection is of no further use. */
+    void abandon() {
+        passage = null;
+        close();
     }
 
     private void read() {
+        if (passage != null) {
+            passOn();
+            return;
+        }
         while (!closed && in.worthReading()) {
             try {
                 Reply reply = in.message(form);
@@ -93,6 +174,14 @@
                     return;
                 }
                 alarm.cancel();
+                if (reply.rest() != null) {
+                    more = reply.more();
+                    connection.reading(false); // until the client's turn has come
+                    passage = new Passage(this, reply.rest());
+                    errand.passage = passage;
+                    node.answers(this, errand, reply);
+                    return;
+                }
                 node.replied(this, errand, in.available() == 0 ? reply : reply.last());
             } catch (IOException bad) {
                 if (bad instanceof ProtocolException) {
@@ -125,6 +214,15 @@
         }
         alarm.cancel();
         node.broken(this);
+        brokeOff();
+    }
+
+    private void brokeOff() {
+        if (passage != null) {
+            Passage broken = passage;
+            passage = null;
+            broken.broke();
+        }
     }
 
     /** Whether it broke, though its actor may not have been told yet. */
@@ -137,6 +235,7 @@
         alarm.cancel();
         connection.close();
         node.broken(this);
+        brokeOff();
     }
 
     /** Closes it where nothing that it still brings counts. */
@@ -144,5 +243,6 @@
         closed = true;
         alarm.cancel();
         connection.close();
+        brokeOff();
     }
 }
--- a/proxy/src/main/java/spurroad/transport/Connection.java
+++ b/proxy/src/main/java/spurroad/transport/Connection.java
@@ -39,6 +39,7 @@
     private final Runnable placeBack;
     private final Deque<byte[]> waiting = new ArrayDeque<>();
     private int at; // of the first that waits
+    private long taken;
     private SelectionKey reads, writes;
     private User user;
     private boolean closed;
@@ -144,7 +145,7 @@
 
     /** Sends it after all that was written before. Where it breaks, the user is told soon. */
     public void write(byte[] message) {
-        if (!closed) {
+        if (!closed && message.length > 0) {
             waiting.add(message);
             if (waiting.size() == 1) {
                 flush();
@@ -152,6 +153,33 @@
         }
     }
 
+    /** Sends what a buffer holds after all that was written before; what can't go at once is copied. */
+    public void write(ByteBuffer bytes) {
+        if (closed || !bytes.hasRemaining()) {
+            return;
+        }
+        try {
+            if (waiting.isEmpty() && bytes.isDirect()) { // an array goes by way of the loop's own buffer
+                taken += sink.write(bytes);
+            }
+            if (bytes.hasRemaining()) {
+                byte[] rest = new byte[bytes.remaining()];
+                bytes.get(rest);
+                waiting.add(rest);
+                if (waiting.size() == 1) {
+                    flush();
+                }
+            }
+        } catch (IOException e) {
+            broke();
+        }
+    }
+
+    /** How many bytes the system has taken of what was written. */
+    public long taken() {
+        return taken;
+    }
+
     /** Whether the system has taken all that was written. */
     public boolean isDrained() {
         return waiting.isEmpty();
@@ -164,7 +192,9 @@
                 byte[] first = waiting.peek();
                 int n = Math.min(first.length - at, loop.out.capacity());
                 loop.out.clear().put(first, at, n).flip();
-                at += sink.write(loop.out);
+                int written = sink.write(loop.out);
+                at += written;
+                taken += written;
                 if (loop.out.hasRemaining()) {
                     break;
                 }
--- /dev/null
+++ b/proxy/src/test/java/spurroad/program/LongValueTest.java
@@ -0,0 +1,278 @@
+package spurroad.program;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicLong;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+import spurroad.Peers;
+import spurroad.Peers.Client;
+import spurroad.Peers.Peer;
+import spurroad.protocol.ByteSource;
+
+/** Values far over what is held at once, from and to peers that are slow, cut them anywhere or break off. */
+public class LongValueTest {
+    private static final String WATCH = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    private static final int LONG = 4 * 1024 * 1024;
+
+    private interface Script {
+        void answer(Socket s, String id) throws Exception;
+    }
+
+    /** A cache node that answers each query by a script. */
+    private static final class Node implements AutoCloseable {
+        private final ServerSocket server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        private final AtomicLong given = new AtomicLong();
+        private final CountDownLatch ended = new CountDownLatch(1);
+
+        private Node(Script script) throws IOException {
+            daemon(() -> {
+                while (true) {
+                    Socket s = server.accept();
+                    daemon(() -> serve(s, script));
+                }
+            });
+        }
+
+        private void serve(Socket s, Script script) throws Exception {
+            ByteSource in = new ByteSource(s.getInputStream());
+            for (String line = in.line(9000); line != null; line = in.line(9000)) {
+                if (line.startsWith("mg")) {
+                    try {
+                        script.answer(s, line.replaceFirst(".* O(\\S+).*", "$1"));
+                    } finally {
+                        ended.countDown();
+                    }
+                } else {
+                    s.getOutputStream().write("STAT inflight 0\r\nEND\r\n".getBytes());
+                }
+            }
+        }
+
+        private void give(Socket s, byte[] bytes, int from, int to) throws IOException {
+            s.getOutputStream().write(bytes, from, to - from);
+            given.addAndGet(to - from);
+        }
+
+        @Override
+        public void close() throws IOException {
+            server.close();
+        }
+    }
+
+    private interface Work {
+        void run() throws Exception;
+    }
+
+    private static void daemon(Work work) {
+        Thread t = new Thread(() -> {
+            try {
+                work.run();
+            } catch (Exception e) {
+                // its peer or the test closed it
+            }
+        });
+        t.setDaemon(true);
+        t.start();
+    }
+
+    private static byte[] value(int length) {
+        byte[] value = new byte[length];
+        new Random(length).nextBytes(value);
+        return value;
+    }
+
+    private static byte[] line(String text) {
+        return text.getBytes(StandardCharsets.ISO_8859_1);
+    }
+
+    private static Service proxy(int node, int origin) throws Exception {
+        return ServiceTest.proxy(new Peer(m -> WATCH), 256, Peers.target("s-1", "m1", node, "active", 0),
+            Peers.target("s-o", "origin", origin, "active", 0));
+    }
+
+    @DataProvider
+    Object[][] lengths() {
+        return new Object[][] {{65_536}, {65_537}, {131_072}, {1_000_003}, {LONG}};
+    }
+
+    @Test(dataProvider = "lengths")
+    public void aValuePassesAsItIsWhereverItIsCut(int length) throws Exception {
+        byte[] value = value(length);
+        Random random = new Random(3);
+        Node[] n = new Node[1];
+        try (Node node = n[0] = new Node((s, id) -> {
+            byte[] whole = concat(line("VA " + length + " O" + id + " h1\r\n"), value, line("\r\n"));
+            for (int at = 0; at < whole.length; ) {
+                int to = Math.min(whole.length, at + 1 + random.nextInt(100_000));
+                n[0].give(s, whole, at, to);
+                Thread.sleep(random.nextInt(3));
+                at = to;
+            }
+        }); Client c = new Client(proxy(node.server.getLocalPort(), 1).port())) {
+            for (int i = 0; i < 2; i++) {
+                assertEquals(c.say(ServiceTest.READ).line(), "VA " + length + " O1");
+                byte[] got = new byte[length];
+                c.in.bytes(got, 0, length);
+                assertEquals(got, value);
+                assertEquals(c.line(), "");
+            }
+            assertEquals(c.say("mn\r\n").line(), "MN", "and the connection goes on");
+        }
+    }
+
+    private static byte[] concat(byte[]... parts) {
+        int length = 0;
+        for (byte[] p : parts) {
+            length += p.length;
+        }
+        byte[] whole = new byte[length];
+        int at = 0;
+        for (byte[] p : parts) {
+            System.arraycopy(p, 0, whole, at, p.length);
+            at += p.length;
+        }
+        return whole;
+    }
+
+    @Test
+    public void theFirstBytesGoOnBeforeTheRestHasCome() throws Exception {
+        CountDownLatch seen = new CountDownLatch(1);
+        byte[] value = value(LONG);
+        Node[] n = new Node[1];
+        try (Node node = n[0] = new Node((s, id) -> {
+            n[0].give(s, line("VA " + LONG + " O" + id + "\r\n"), 0, ("VA " + LONG + " O" + id + "\r\n").length());
+            n[0].give(s, value, 0, 100);
+            seen.await();
+            n[0].give(s, value, 100, LONG);
+            s.getOutputStream().write(line("\r\n"));
+        }); Client c = new Client(proxy(node.server.getLocalPort(), 1).port())) {
+            assertEquals(c.say(ServiceTest.READ).line(), "VA " + LONG + " O1");
+            byte[] got = new byte[LONG];
+            c.in.bytes(got, 0, 100);
+            seen.countDown();
+            c.in.bytes(got, 100, LONG - 100);
+            assertEquals(got, value);
+        }
+    }
+
+    @DataProvider
+    Object[][] faults() {
+        return new Object[][] {{"breaks off"}, {"spoils the line end"}, {"falls silent"}};
+    }
+
+    @Test(dataProvider = "faults")
+    public void aValueThatCantBeFinishedIsSeenNotToBeWhole(String fault) throws Exception {
+        byte[] value = value(LONG);
+        Node[] n = new Node[1];
+        try (Node node = n[0] = new Node((s, id) -> {
+            s.getOutputStream().write(line("VA " + LONG + " O" + id + "\r\n"));
+            n[0].give(s, value, 0, fault.startsWith("spoils") ? LONG : LONG / 2);
+            if (fault.startsWith("breaks")) {
+                s.close();
+            } else if (fault.startsWith("spoils")) {
+                s.getOutputStream().write(line("xy"));
+            }
+        })) {
+            Service s = proxy(node.server.getLocalPort(), 1);
+            try (Client c = new Client(s.port())) {
+                assertEquals(c.say(ServiceTest.READ).line(), "VA " + LONG + " O1");
+                long got = 0;
+                try {
+                    for (byte[] one = new byte[1]; got < LONG + 2; got++) {
+                        c.in.bytes(one, 0, 1);
+                    }
+                } catch (IOException e) {
+                    // it ended or was reset
+                }
+                assertTrue(got <= LONG, "no end that makes it whole");
+                StringBuilder figures = new StringBuilder();
+                s.figures().each(f -> figures.append(f.name()).append('=').append(f.value()).append(' '));
+                assertTrue(figures.toString().contains("results.read.aborted=1"), figures.toString());
+            }
+        }
+    }
+
+    /** What a client does not take stays with its node: no more is read than is held for it and by the system. */
+    @Test
+    public void aSlowClientHoldsUpItsNodeAndNotTheProxy() throws Exception {
+        byte[] value = value(LONG);
+        Node[] n = new Node[1];
+        try (Node node = n[0] = new Node((s, id) -> {
+            s.setSendBufferSize(64 * 1024);
+            s.getOutputStream().write(line("VA " + LONG + " O" + id + "\r\n"));
+            for (int at = 0; at < LONG; at += 65_536) {
+                n[0].give(s, value, at, at + 65_536);
+            }
+            s.getOutputStream().write(line("\r\n"));
+        })) {
+            Service s = proxy(node.server.getLocalPort(), 1);
+            List<Socket> slow = new ArrayList<>();
+            for (int i = 0; i < 20; i++) {
+                Socket c = new Socket();
+                c.setReceiveBufferSize(16 * 1024);
+                c.connect(new java.net.InetSocketAddress(InetAddress.getLoopbackAddress(), s.port()));
+                c.getOutputStream().write(line(ServiceTest.READ.replace("O1", "Oc" + i)));
+                slow.add(c);
+            }
+            Thread.sleep(500);
+            try (Client c = new Client(s.port())) {
+                assertEquals(c.say("mn\r\n").line(), "MN");
+            }
+            for (int i = 0; i < slow.size(); i += 2) {
+                slow.get(i).close(); // these leave in the middle
+            }
+            InputStream in = slow.get(1).getInputStream();
+            assertEquals(in.readNBytes(LONG + ("VA " + LONG + " Oc1\r\n\r\n").length()).length,
+                LONG + ("VA " + LONG + " Oc1\r\n\r\n").length());
+        }
+    }
+
+    @Test
+    public void aLongWriteIsHeldAndGoesOnWhole() throws Exception {
+        byte[] value = value(1_000_003);
+        try (Peer origin = new Peer(m -> "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nr1");
+             Peer node = new Peer(m -> null)) {
+            Service s = proxy(node.port, origin.port);
+            try (Socket c = new Socket(InetAddress.getLoopbackAddress(), s.port())) {
+                c.setSoTimeout(20_000);
+                byte[] whole = concat(line("ms k " + value.length + " O1 Pc=put,t=acme,d=9000,k=5\r\n"), value,
+                    line("\r\nmn\r\n"));
+                for (int at = 0; at < whole.length; at += 50_000) {
+                    c.getOutputStream().write(whole, at, Math.min(50_000, whole.length - at));
+                    Thread.sleep(1);
+                }
+                ByteSource in = new ByteSource(c.getInputStream());
+                assertEquals(in.line(100), "HD O1 cr1");
+                assertEquals(in.line(100), "MN");
+                String heard = origin.await("PUT /k HTTP/1.1");
+                assertTrue(heard.endsWith("\n" + new String(value, StandardCharsets.ISO_8859_1)), "as it was");
+            }
+        }
+    }
+
+    @DataProvider
+    Object[][] badWrites() {
+        return new Object[][] {{"ms k 4194305 O1 Pc=put,t=acme,d=9000,k=5\r\n", "CLIENT_ERROR bad length"},
+            {"ms k 70000 O1 Pc=put,t=acme,d=9000,k=5\r\n" + "x".repeat(70_001) + "\r\n", "CLIENT_ERROR bad data chunk"},
+            {"ms k 70000 O1 Pc=nothing,t=acme,d=9000,k=5\r\n" + "x".repeat(70_000) + "\r\n", "CLIENT_ERROR unknown class"}};
+    }
+
+    @Test(dataProvider = "badWrites")
+    public void aLongWriteThatCantBeUsedIsToldSo(String text, String answer) throws Exception {
+        try (Peer node = new Peer(m -> null); Client c = new Client(proxy(node.port, 1).port())) {
+            assertEquals(c.say(text).line(), answer);
+        }
+    }
+}
