Upgrades tested with two real processes on one inherited socket, held by a few lines of Perl

Java can't hand a socket to a process that it starts; the platform's part is played by Perl, which every Debian has. Two upgrades under load turn nobody back and keep a node out of use; a new process that is killed or has a faulty file changes nothing.

--- /dev/null
+++ b/proxy/src/test/java/spurroad/overload/Platform.java
@@ -0,0 +1,145 @@
+package spurroad.overload;
+
+import java.io.BufferedReader;
+import java.io.File;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.io.OutputStreamWriter;
+import java.io.Writer;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.concurrent.TimeUnit;
+import spurroad.operation.AdminServerTest;
+
+/**
+ * Holds a listening socket as a platform does, and starts real proxies that inherit it as descriptor 0. Java can't hand
+ * a socket to a process that it starts, so a few lines of Perl, which every Debian has, hold it and start what they are told.
+ */
+public final class Platform implements AutoCloseable {
+    private static final String HOLDER = String.join("\n", "use IO::Socket::INET;",
+        "my $s = IO::Socket::INET->new(LocalAddr => '127.0.0.1', LocalPort => 0, Listen => 1024) or die;",
+        "open(my $orders, '<&', \\*STDIN); open(STDIN, '<&', $s); $| = 1; $SIG{CHLD} = 'IGNORE';",
+        "print $s->sockport, \"\\n\";", "while (my $line = <$orders>) {",
+        "  chomp $line; my $pid = fork(); if (!$pid) { exec('/bin/sh', '-c', $line); } print \"$pid\\n\"; }",
+        "kill 'KILL', $_ for @ARGV;");
+    private static final long READY_S = 30; // s; for a proxy on a busy machine
+
+    /** A proxy that was started. */
+    public record Proxy(long pid, int adminPort, Path log) {
+        public String call(String method, String path) throws IOException {
+            return AdminServerTest.call(adminPort, method, path);
+        }
+
+        public boolean alive() {
+            return ProcessHandle.of(pid).map(ProcessHandle::isAlive).orElse(false);
+        }
+
+        public void terminate() {
+            ProcessHandle.of(pid).ifPresent(ProcessHandle::destroy);
+        }
+
+        public void kill() {
+            ProcessHandle.of(pid).ifPresent(ProcessHandle::destroyForcibly);
+        }
+
+        public boolean ended(long seconds) throws InterruptedException {
+            for (long i = 0; i < 100 * seconds && alive(); i++) {
+                Thread.sleep(10);
+            }
+            return !alive();
+        }
+
+        /** What it has in memory, in MiB; 0 where it has ended. */
+        public double residentMb() throws IOException {
+            try {
+                return Files.readAllLines(Path.of("/proc/" + pid + "/status")).stream()
+                    .filter(l -> l.startsWith("VmRSS")).mapToDouble(l -> Double.parseDouble(l.replaceAll("\\D", "")) / 1024)
+                    .findFirst().orElse(0);
+            } catch (IOException e) {
+                return 0;
+            }
+        }
+    }
+
+    private final Process holder;
+    private final BufferedReader told;
+    private final Writer orders;
+    private final Path folder;
+    private final Set<Long> started = new TreeSet<>();
+    /** Where clients connect. */
+    public final int port;
+
+    public Platform() throws IOException {
+        folder = Files.createTempDirectory("platform");
+        holder = new ProcessBuilder("perl", "-e", HOLDER).redirectError(ProcessBuilder.Redirect.INHERIT).start();
+        told = new BufferedReader(new InputStreamReader(holder.getInputStream()));
+        orders = new OutputStreamWriter(holder.getOutputStream());
+        port = Integer.parseInt(told.readLine());
+    }
+
+    /** The folder that its proxies share. */
+    public Path shared() {
+        return folder;
+    }
+
+    /**
+     * Starts one, and returns at once.
+     *
+     * @param configuration the text of its file
+     * @param command       what starts the virtual machine, up to the word before `serve`
+     */
+    public Proxy start(String configuration, String command) throws IOException {
+        int admin = freePort();
+        Path file = Files.writeString(Files.createTempFile(folder, "proxy", ".json"), configuration);
+        Path log = Path.of(file + ".log");
+        Map<String, String> environment = Map.of("BALANCER_CONFIG", file.toString(), "TMPDIR", folder.toString(),
+            "BALANCER_LISTEN_FD", "0", "BALANCER_ADMIN_ADDR", "127.0.0.1:" + admin);
+        StringBuilder line = new StringBuilder();
+        environment.forEach((name, value) -> line.append(name).append('=').append(value).append(' '));
+        orders.write(line + "exec " + command + " serve > " + log + " 2>&1\n");
+        orders.flush();
+        long pid = Long.parseLong(told.readLine());
+        started.add(pid);
+        return new Proxy(pid, admin, log);
+    }
+
+    /** Starts one and waits for its yes. */
+    public Proxy ready(String configuration, String command) throws IOException, InterruptedException {
+        Proxy p = start(configuration, command);
+        long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(READY_S);
+        while (System.nanoTime() < until) {
+            try {
+                if (p.call("GET", "/healthcheck").startsWith("HTTP/1.1 200")) {
+                    return p;
+                }
+            } catch (IOException e) {
+                // it does not listen yet
+            }
+            Thread.sleep(20);
+        }
+        throw new IOException("never ready: " + Files.readString(p.log));
+    }
+
+    private static int freePort() throws IOException {
+        try (java.net.ServerSocket s = new java.net.ServerSocket(0, 1, java.net.InetAddress.getLoopbackAddress())) {
+            return s.getLocalPort();
+        }
+    }
+
+    /** The classes of the proxy as they stand, on this machine's Java with the flags of a small one. */
+    public static String fromClasses() {
+        return String.join(" ", List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+            "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xmx64m", "-Djava.net.preferIPv4Stack=true", "-cp",
+            System.getProperty("java.class.path").replace(File.pathSeparator, ":"), "spurroad.program.Main"));
+    }
+
+    @Override
+    public void close() throws IOException {
+        started.forEach(pid -> ProcessHandle.of(pid).ifPresent(ProcessHandle::destroyForcibly));
+        holder.destroyForcibly();
+    }
+}
--- /dev/null
+++ b/proxy/src/test/java/spurroad/program/UpgradeTest.java
@@ -0,0 +1,128 @@
+package spurroad.program;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.testng.annotations.Test;
+import spurroad.Peers;
+import spurroad.Peers.Client;
+import spurroad.Peers.Peer;
+import spurroad.overload.Platform;
+import spurroad.overload.Platform.Proxy;
+
+/** Real processes on one listening socket, as a platform starts them beside each other. */
+public class UpgradeTest {
+    private static final String WATCH = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+    private static String configuration(Peer discovery, Peer... nodes) {
+        List<String> targets = new ArrayList<>();
+        for (Peer n : nodes) {
+            targets.add(Peers.target("s-" + targets.size(), "m1", n.port, "active", 0));
+        }
+        return Peers.start(discovery.port, 256, Peers.list(1, true, targets.toArray(String[]::new)));
+    }
+
+    /** Clients that open a connection for each few queries; counts those that were turned back unheard. */
+    private static final class Load {
+        private final AtomicBoolean on = new AtomicBoolean(true);
+        private final AtomicInteger served = new AtomicInteger(), unheard = new AtomicInteger(), wrong = new AtomicInteger();
+        private final List<Thread> threads = new ArrayList<>();
+
+        private Load(int port) {
+            for (int i = 0; i < 4; i++) {
+                int number = i;
+                Thread t = new Thread(() -> run(port, number));
+                t.start();
+                threads.add(t);
+            }
+        }
+
+        private void run(int port, int number) {
+            for (int n = 0; on.get(); ) {
+                try (Client c = new Client(port)) {
+                    for (int i = 0; i < 10 && on.get(); i++, n++) {
+                        String line = c.say(ServiceTest.READ.replace("O1", "Ot" + number + "n" + n)).line();
+                        if (line == null && i > 0) {
+                            break; // closed between two: asked again on a new one
+                        }
+                        if (line == null) {
+                            unheard.incrementAndGet();
+                        } else if (line.startsWith("VA")) {
+                            c.line();
+                            served.incrementAndGet();
+                        } else {
+                            wrong.incrementAndGet();
+                        }
+                    }
+                } catch (IOException e) {
+                    unheard.incrementAndGet();
+                }
+            }
+        }
+
+        private void end() throws InterruptedException {
+            on.set(false);
+            for (Thread t : threads) {
+                t.join();
+            }
+        }
+    }
+
+    @Test
+    public void twoUpgradesUnderLoadTurnNobodyBackAndKeepWhatStaffSaid() throws Exception {
+        try (Peer a = new Peer(ServiceTest.hit("v")); Peer b = new Peer(ServiceTest.hit("v"));
+             Peer discovery = new Peer(m -> WATCH); Platform platform = new Platform()) {
+            String configuration = configuration(discovery, a, b);
+            Proxy old = platform.ready(configuration, Platform.fromClasses());
+            assertTrue(old.call("POST", "/cache-nodes/s-0/maint").startsWith("HTTP/1.1 200"));
+            Load load = new Load(platform.port);
+            for (int i = 0; i < 2; i++) {
+                Proxy next = platform.ready(configuration, Platform.fromClasses());
+                assertTrue(next.call("GET", "/stats").contains("proxy.ejected:1|g"), "kept over the upgrade");
+                old.terminate();
+                assertTrue(old.ended(10), "gone, and its clients with it");
+                assertTrue(next.alive());
+                assertTrue(Files.readString(old.log()).contains("ended"), "its log lasts to the end");
+                old = next;
+            }
+            Thread.sleep(300);
+            load.end();
+            assertTrue(a.heard.stream().noneMatch(m -> m.startsWith("mg")), "nothing new to the node that is out");
+            assertEquals(load.unheard.get() + load.wrong.get(), 0, load.served + " served");
+            assertTrue(load.served.get() > 100, "under load: " + load.served);
+            assertTrue(old.call("POST", "/cache-nodes/s-0/ready").startsWith("HTTP/1.1 200"));
+        }
+    }
+
+    @Test
+    public void aNewOneThatDiesBeforeItServesChangesNothing() throws Exception {
+        try (Peer a = new Peer(ServiceTest.hit("v")); Peer discovery = new Peer(m -> WATCH);
+             Platform platform = new Platform()) {
+            String configuration = configuration(discovery, a);
+            Proxy old = platform.ready(configuration, Platform.fromClasses());
+            Proxy killed = platform.start(configuration, Platform.fromClasses());
+            Thread.sleep(400);
+            killed.kill();
+            Proxy faulty = platform.start("{}", Platform.fromClasses());
+            assertTrue(faulty.ended(20));
+            try (Client c = new Client(platform.port)) {
+                assertEquals(c.say(ServiceTest.READ).line(), "VA 1 O1");
+            }
+            old.terminate();
+            Thread.sleep(100);
+            assertFalse(Files.readString(old.log()).contains("module failed"));
+            Proxy next = platform.ready(configuration, Platform.fromClasses());
+            try (Client c = new Client(platform.port)) {
+                assertEquals(c.say(ServiceTest.READ).line(), "VA 1 O1", "after leftovers of a killed one");
+            }
+            assertTrue(next.alive());
+        }
+    }
+}
