--- a/proxy/src/main/java/spurroad/routing/ClientConnection.java
+++ b/proxy/src/main/java/spurroad/routing/ClientConnection.java
@@ -22,6 +22,7 @@
     private static final int AT_A_TURN = 16; // commands; who sends hundreds at once holds up nobody
     private static final long SLOW_NS = 10_000_000_000L; // ns; a client that takes nothing so long is gone
     private static final long REST_NS = 50_000_000L; // ns; a client that goes on at once has done so by then
+    private static final long ASKS_ON_NS = 5_000_000L; // ns; a client that has a next query waiting asks within that
     private static final long FRESH_NS = 250_000_000L; // ns; who opens a connection for a query sends it sooner
     private static final long HOLDING_NS = 1_000_000_000L; // ns; for guests, and for answers where memory is short
     private static final long IDLE_NS = 2_200_000_000L; // ns; so long without a byte of a command: owed a word or a close; heads take 2 s
@@ -30,6 +31,8 @@
     private static final long CROWDED_NS = 300_000_000L; // ns; the same after an answer where many are connected
     private static final long FAULT_REST_NS = 100_000_000L; // ns; who sends nonsense again at once costs others nothing
     private static final int PASSING_BYTES = 64 * 1024; // bytes; of a long value that wait for the client, at most
+    private static final int SYSTEM_BYTES = 128 * 1024; // bytes; of a long value in the system's buffers: it takes twice that
+    private static final long TAKING_NS = 30_000_000_000L; // ns; for those to be taken, at 10 KB a second
     private static final int LONG_BYTES = 16 * 1024; // bytes; a shorter answer fits whole into the client's buffers
     private static final int LAST_BYTES = 256 * 1024; // bytes; read on after a last answer, so that it arrives
 
@@ -207,6 +210,7 @@
 
     private void taken(MetaCommand command, long uploadRoomHeld) {
         Slot slot = new Slot();
+        takingUntil = waiting() == 0 ? 0 : takingUntil; // who asks on has taken what came before
         slot.uploadRoom = uploadRoomHeld;
         slots.add(slot);
         slot.answer = switch (command.kind) {
@@ -296,6 +300,8 @@
             writingSince = clients.now();
             connection.write(writing.answer);
             if (writing.passage != null) {
+                // what stands in its buffers is lost by a reset, and nothing tells when it has gone
+                connection.systemHolds(SYSTEM_BYTES);
                 writing.passage.begin(this);
             } else if (connection.isDrained()) {
                 written();
@@ -350,13 +356,26 @@
         ended(slot, slot.end);
         idleSince = clients.now();
         answered = true;
-        takingUntil = slot.answerRoom > LONG_BYTES ? idleSince + SLOW_NS : takingUntil;
+        takingUntil = slot.answerRoom > PASSING_BYTES ? idleSince + TAKING_NS
+            : slot.answerRoom > LONG_BYTES ? idleSince + SLOW_NS : takingUntil;
         giveRoom(slot);
         if (slot.last) {
             endOnceTaken();
-        } else if ((guest || clients.ending()) && isBetweenCommands() && !connection.unread()) {
-            // at once: the client takes it for its next query as soon as it has the answer
-            if (idleSince < takingUntil) {
+        } else if (guest || clients.ending()) {
+            closeBetweenCommands();
+        } else if (clients.lettingGo()) {
+            // not at once: a client that asks on as soon as it has its answer would cross the close each time
+            clients.loop.after(ASKS_ON_NS, () -> {
+                if (!over && quietSince() <= clients.now() - ASKS_ON_NS) {
+                    closeBetweenCommands();
+                }
+            });
+        }
+    }
+
+    private void closeBetweenCommands() {
+        if (isBetweenCommands() && !connection.unread() && !over) {
+            if (clients.now() < takingUntil) {
                 lost = true;
                 endOnceTaken();
             } else {
--- a/proxy/src/main/java/spurroad/routing/Clients.java
+++ b/proxy/src/main/java/spurroad/routing/Clients.java
@@ -44,7 +44,7 @@
     private List<Results.OfClass> counts = List.of(); // by track
     private Map<String, Integer> tracks, customers; // their numbers by name
     private final int places;
-    private volatile boolean ending;
+    private volatile boolean lettingGo, ending;
     private volatile long statementTimeoutNs; // the loop's; for other threads
     private volatile long longestWaitMs; // the loop's; for other threads
     private volatile long answeredBy = Long.MAX_VALUE;
@@ -169,13 +169,17 @@
         }
     }
 
+    boolean lettingGo() {
+        return lettingGo;
+    }
+
     boolean ending() {
         return ending;
     }
 
-    /** Others serve from now on: each connection closes with the answer that it waits for, or once it is quiet. */
+    /** Others serve from now on: each connection closes soon after the answer that it waits for, or once it is quiet. */
     public void letGo() {
-        ending = true;
+        lettingGo = true;
         letGoQuiet();
     }
 
--- a/proxy/src/main/java/spurroad/transport/Connection.java
+++ b/proxy/src/main/java/spurroad/transport/Connection.java
@@ -180,6 +180,17 @@
         return taken;
     }
 
+    /** Has the system hold no more than about so many bytes that were written and not taken by the peer. */
+    public void systemHolds(int bytes) {
+        try {
+            if (!closed && sink instanceof SocketChannel socket) {
+                socket.setOption(StandardSocketOptions.SO_SNDBUF, bytes);
+            }
+        } catch (IOException e) {
+            broke();
+        }
+    }
+
     /** Whether the system has taken all that was written. */
     public boolean isDrained() {
         return waiting.isEmpty();
--- a/proxy/src/test/java/spurroad/overload/StandIns.java
+++ b/proxy/src/test/java/spurroad/overload/StandIns.java
@@ -52,6 +52,7 @@
         private final Deque<Runnable> queue = new ArrayDeque<>();
         private int working;
         long begun;
+        volatile long lastHeardNs; // when the last query came, Unix time in nanoseconds
         final int port;
 
         Server(Loop loop, EventLog log, Pace pace, boolean origin, long seed) throws IOException {
@@ -75,6 +76,7 @@
 
         /** Has a command done when its turn comes; false where it is turned away. */
         private boolean begin(Runnable done) {
+            lastHeardNs = loop.now();
             Runnable work = () -> {
                 working++;
                 begun++;
--- a/proxy/src/test/java/spurroad/start/ProxyStartTest.java
+++ b/proxy/src/test/java/spurroad/start/ProxyStartTest.java
@@ -73,7 +73,14 @@
             {GOOD.replace("\"retryable\"", "\"often\""), "tracks.0.effect", "unknown"},
             {GOOD.replace("\"sloTimeUs\":8000000", "\"x\":1"), "tracks.0.sloTimeUs", "missing"},
             {GOOD.replace("\"allowancePerS\":1000", "\"allowancePerS\":\"x\""), "projects.0.allowancePerS", "number"},
-            {GOOD.replace("\"tickUs\":5000", "\"tickUs\":true"), "tickUs", "number"}};
+            {GOOD.replace("\"tickUs\":5000", "\"tickUs\":true"), "tickUs", "number"},
+            {GOOD.replace("\"seed\"", "\"admin_addr\":\"here\",\"seed\""), "admin_addr", "address"},
+            {GOOD.replace("\"seed\"", "\"admin_addr\":7,\"seed\""), "admin_addr", "text"},
+            {GOOD.replace("\"mostExecutions\":6", "\"mostExecutions\":0"), "allowed.mostExecutions", "over 0"},
+            {GOOD.replace("\"sloTimeUs\":8000000", "\"sloTimeUs\":-1"), "tracks.0.sloTimeUs", "over 0"},
+            {GOOD.replace("\"importance\":5", "\"statementTimeoutUs\":0"), "tracks.1.statementTimeoutUs", "over 0"},
+            {GOOD.replace("\"put\"", "\"read\""), "tracks.1.name", "another class"},
+            {GOOD.replace("\"probes\":true", "\"probes\":1"), "allowed.probes", "true nor false"}};
     }
 
     @Test(dataProvider = "faults")
@@ -83,6 +90,17 @@
         assertFalse(line.contains("\n"));
     }
 
+    @Test
+    public void theEnvironmentTellsWhereCallsAreHeardBeforeTheFile() {
+        String file = GOOD.replace("\"seed\"", "\"admin_addr\":\"127.0.0.1:7\",\"seed\"");
+        assertEquals(new ProxyStart(GOOD).admin, null);
+        assertEquals(new ProxyStart(file).admin.getPort(), 7);
+        assertEquals(new ProxyStart(file, Map.of("BALANCER_ADMIN_ADDR", "127.0.0.1:8")).admin.getPort(), 8);
+        assertTrue(new ProxyStart(file).places < new ProxyStart(GOOD).places, "its callers hold descriptors");
+        assertTrue(expectThrows(FaultyKeyException.class, () -> new ProxyStart(GOOD, Map.of("BALANCER_LISTEN_FD", "3")))
+            .getMessage().contains("BALANCER_LISTEN_FD"));
+    }
+
     @Test
     public void theFileIsTheOneThatTheEnvironmentNames() {
         for (Map<String, String> environment : List.of(Map.<String, String>of(), Map.of("BALANCER_CONFIG", "/none"))) {
