A node given back gets work within 5 s also with little traffic; our own lack blames no node

Change: after 2 s without an execution a node that staff gave back takes the next query that its warm-up allows; NEVER_SENT for our own lack. Tables of the lattice and 200 random orders of list, staff and queries in ByHandTest.

--- a/core/src/main/java/spurroad/Balance.java
+++ b/core/src/main/java/spurroad/Balance.java
@@ -41,6 +41,7 @@
     static final double SHED_SHARE = 0.4; // of the shortest SLO time: queues that lesser tracks may find
     static final double LATE_SHARE = 0.7; // of the SLO time left: beyond it a mean is late too often
     static final double COME_BACK = 0.5; // of the SLO time until a rejected client may try: queues have moved
+    static final long OWED_NS = 2_000_000_000L; // ns; by then a node given back has work, where there is any
     static final long FOLLOW_NS = 500_000_000L; // ns; first pause before following the list again
     static final long LONGEST_FOLLOW_NS = 8_000_000_000L; // ns; the list is one service for all proxies
 
@@ -50,6 +51,7 @@
     private double mostImportance;
     private Fading[] customerSent = {};
     private final Set<NodeId> byHand = new HashSet<>(); // taken out of use by staff; listed at some time
+    private final Set<NodeId> owed = new LinkedHashSet<>(); // given back by staff, with no execution since
     private final Stage first = new Entry();
     private final Fetch fetch = new Fetch();
     private final Choice choice = new Choice();
@@ -127,6 +129,7 @@
     /** Takes up what the list and staff say of nodes; the strictest of it holds. */
     private void arrange() {
         nodes.values().forEach(n -> n.banned = byHand.contains(n.entry.id()));
+        owed.removeIf(id -> nodes.get(id).phase() != Phase.READY);
         List<Node> ready = nodes.values().stream().filter(n -> n.phase() == Phase.READY).toList();
         origin = ready.stream().filter(n -> n.entry.kind().equals(given.originKind())).findFirst().orElse(null);
         caches = ready.stream().filter(n -> n != origin).toList();
@@ -140,10 +143,12 @@
      */
     public void byHand(long at, NodeId id, boolean out, Decisions into) {
         begin(at, into);
+        owed.remove(id);
         if (out ? byHand.add(id) : byHand.remove(id)) {
             Node n = nodes.get(id);
             if (!out && n != null) {
                 anew(n.entry, now);
+                owed.add(id);
             }
             arrange();
         }
@@ -372,6 +377,10 @@
         void pass(Qry q) {
             List<Node> c = walk(q, true);
             c = c.isEmpty() ? walk(q, false) : c;
+            // where few queries come, its keys may not be among them for long
+            Node back = owed.isEmpty() || !q.execs.isEmpty() ? null : owed.stream().map(nodes::get)
+                .filter(n -> now - n.backNs > OWED_NS && ready(n, q)).findFirst().orElse(null);
+            c = back == null ? c : List.of(back);
             if (c.isEmpty() || q.endAt <= now + given.tickNs()) {
                 giveUp(q);
                 return;
@@ -469,6 +478,7 @@
             q.execs.add(e);
             n.out.add(e);
             watched.add(n);
+            owed.remove(n.entry.id());
             idle.remove(n);
             q.out++;
             n.sentSince++;
--- /dev/null
+++ b/core/src/test/java/spurroad/ByHandTest.java
@@ -0,0 +1,149 @@
+package spurroad;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+import static spurroad.Rig.MS;
+import static spurroad.Rig.READ;
+
+import java.util.Arrays;
+import java.util.List;
+import java.util.Random;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+import spurroad.model.Decisions;
+import spurroad.model.Deployment;
+import spurroad.model.NodeEntry;
+import spurroad.model.NodeId;
+import spurroad.model.Outcome;
+import spurroad.model.Phase;
+
+/** What staff say of nodes, beside what the list says; and figures that change under way. */
+public class ByHandTest {
+    private static final int NODES = 4;
+
+    private static Decisions says(Rig rig, long node, boolean out) {
+        rig.decided.clear();
+        rig.balance.byHand(rig.now, new NodeId(node), out, rig.decided);
+        return rig.decided;
+    }
+
+    /** What the list and staff say, and whether it may be used. */
+    @DataProvider
+    Object[][] standings() {
+        return new Object[][] {{Phase.READY, false, true}, {Phase.READY, true, false}, {Phase.DRAINING, false, false},
+            {Phase.DRAINING, true, false}, {Phase.GONE, false, false}, {Phase.GONE, true, false}};
+    }
+
+    @Test(dataProvider = "standings")
+    public void theStrictestHolds(Phase listed, boolean out, boolean used) {
+        Rig rig = Rig.of(1, false);
+        says(rig, 0, out);
+        rig.list(false, List.of(Rig.entry(0, listed, 0)));
+        assertEquals(rig.target(1, READ, 1), used ? 0 : -1);
+        assertEquals(rig.decided.answers.size(), used ? 0 : 1, "given up on at once");
+        assertEquals(rig.balance.standings().listed(), listed == Phase.GONE ? 0 : 1);
+        assertEquals(rig.balance.standings().avoided(rig.now), out && listed != Phase.GONE ? 1 : 0);
+    }
+
+    /** Whatever the list and staff say in whatever order: nothing starts where either forbids it. */
+    @Test
+    public void nothingStartsWhereTheListOrStaffForbidIt() {
+        for (long seed = 0; seed < 200; seed++) {
+            Random random = new Random(seed);
+            Rig rig = Rig.of(NODES, true);
+            boolean[] out = new boolean[NODES];
+            Phase[] listed = new Phase[NODES];
+            Arrays.fill(listed, Phase.READY);
+            for (int step = 0; step < 60; step++) {
+                int node = random.nextInt(NODES);
+                Decisions d = switch (random.nextInt(4)) {
+                    case 0 -> says(rig, node, out[node] = random.nextBoolean());
+                    case 1 -> {
+                        listed[node] = Phase.values()[random.nextInt(3)];
+                        yield rig.list(false, List.of(Rig.entry(node, listed[node], random.nextInt(2) * rig.now)));
+                    }
+                    case 2 -> rig.after(random.nextInt(100));
+                    default -> rig.ask(1000 + step, READ, random.nextInt(50));
+                };
+                for (Decisions.Start s : List.copyOf(d.starts)) {
+                    int at = (int) s.node().value();
+                    assertTrue(at == 99 || !out[at] && listed[at] == Phase.READY, "seed " + seed + ", node " + at);
+                    rig.end(s.query().value(), 0, Outcome.COMPLETED);
+                }
+                for (NodeId probed : d.probes) {
+                    assertTrue(probed.value() == 99 || !out[(int) probed.value()], "no probe either");
+                }
+                assertEquals(rig.balance.standings().avoided(rig.now) >= outListed(out, listed), true);
+            }
+        }
+    }
+
+    private static int outListed(boolean[] out, Phase[] listed) {
+        int n = 0;
+        for (int i = 0; i < NODES; i++) {
+            n += out[i] && listed[i] != Phase.GONE ? 1 : 0;
+        }
+        return n;
+    }
+
+    @Test
+    public void aNodeThatLeavesAndReturnsWhileItIsOutStaysOut() {
+        Rig rig = Rig.of(1, false);
+        says(rig, 0, true);
+        rig.list(true, List.of());
+        rig.list(true, List.of(Rig.entry(0, Phase.READY, rig.now)));
+        assertEquals(rig.target(1, READ, 1), -1);
+    }
+
+    /** It comes back as a cold one does: by share, and soon with some, also where its own keys are seldom asked. */
+    @Test
+    public void givenBackItIsColdAndHasWorkSoonEvenWithLittleTraffic() {
+        Rig rig = Rig.of(NODES, false);
+        long key = 1;
+        while (rig.target(key, READ, key) != 3) {
+            rig.end(key, 0, Outcome.COMPLETED);
+            key++;
+        }
+        rig.end(key, 0, Outcome.COMPLETED);
+        long others = 1000, foreign = key - 1; // that one went to another node
+        says(rig, 3, true);
+        rig.now += 10_000 * MS;
+        says(rig, 3, false);
+        int sent = 0;
+        for (int i = 0; i < 100; i++) { // all for its own keys, at once: a cold one gets a part
+            boolean went = rig.target(5000 + i, READ, key) == 3;
+            sent += went ? 1 : 0;
+            if (!rig.decided.starts.isEmpty()) {
+                rig.end(5000 + i, 0, Outcome.COMPLETED);
+            }
+        }
+        assertTrue(sent < 70, "it is cold: " + sent);
+        says(rig, 3, true);
+        says(rig, 3, false);
+        boolean got = false;
+        for (int i = 0; i < 5 && !got; i++) { // one query a second, for keys of others
+            rig.now += 1000 * MS;
+            got = rig.target(++others, READ, foreign) == 3;
+            rig.end(others, 0, Outcome.COMPLETED);
+        }
+        assertTrue(got, "within 5 s");
+    }
+
+    @Test
+    public void fewerExecutionsHoldForWhatIsUnderWayAndTheTrackStays() {
+        Rig rig = Rig.of(6, false);
+        rig.ask(1, READ, 1);
+        Deployment d = rig.deployment;
+        Deployment next = new Deployment(d.tracks().subList(2, 3), d.customerPace(), d.originKind(), d.mustAsk(),
+            d.probes(), d.cancels(), d.maxComeBackNs(), 1, d.startCapacity(), d.coldNs(), d.tickNs(), d.idleNs(),
+            d.idleQueries(), d.tellsQueue());
+        rig.decided.clear();
+        rig.balance.deployed(rig.now, next, rig.decided);
+        rig.end(1, 0, Outcome.ERROR);
+        assertEquals(rig.decided.starts.size(), 0, "one execution is all now");
+        assertTrue(rig.decided.answers.get(0).rejected(), "by its own track, which is safe to repeat");
+        rig.ask(2, READ, 2); // the first track is now one that may not run twice
+        rig.end(2, 0, Outcome.ERROR);
+        assertEquals(rig.decided.answers.get(0).rejected(), false);
+    }
+}
--- a/proxy/src/main/java/spurroad/routing/NodeActor.java
+++ b/proxy/src/main/java/spurroad/routing/NodeActor.java
@@ -155,7 +155,7 @@
             around.closeIdleEverywhere.run();
             around.loop.after(SHORT_NS, () -> place(e));
         } else {
-            end(e, without(Outcome.NO_CONNECTION));
+            end(e, without(Outcome.NEVER_SENT)); // our own lack: the node is not to blame, and no other has a place
         }
     }
 
