--- a/proxy/src/test/java/spurroad/Peers.java
+++ b/proxy/src/test/java/spurroad/Peers.java
@@ -143,8 +143,20 @@
         }
     }
 
-    private static void daemon(Runnable work) {
-        Thread t = new Thread(work);
+    /** What a peer does on a thread of its own. */
+    public interface Work {
+        void run() throws Exception;
+    }
+
+    /** Has it done until it ends or its connection is closed. */
+    public static void daemon(Work work) {
+        Thread t = new Thread(() -> {
+            try {
+                work.run();
+            } catch (Exception e) {
+                // the other side, or the test, closed what it works on
+            }
+        });
         t.setDaemon(true);
         t.start();
     }
--- a/proxy/src/test/java/spurroad/overload/Operation.java
+++ b/proxy/src/test/java/spurroad/overload/Operation.java
@@ -204,10 +204,10 @@
     /** Clients that take 4 MiB each at some 200 KiB a second. */
     private void readers(int count) throws Exception {
         try (ServerSocket node = new ServerSocket(0, 500, InetAddress.getLoopbackAddress())) {
-            daemon(() -> {
+            Peers.daemon(() -> {
                 while (true) {
                     Socket s = node.accept();
-                    daemon(() -> serveLong(s));
+                    Peers.daemon(() -> serveLong(s));
                 }
             });
             Proxy p = proxy(configuration(1024,
@@ -237,22 +237,6 @@
         }
     }
 
-    private interface Work {
-        void run() throws Exception;
-    }
-
-    private static void daemon(Work work) {
-        Thread t = new Thread(() -> {
-            try {
-                work.run();
-            } catch (Exception e) {
-                // closed at the end
-            }
-        });
-        t.setDaemon(true);
-        t.start();
-    }
-
     private static void serveLong(Socket s) throws IOException {
         s.setSendBufferSize(64 * 1024);
         byte[] value = new byte[LONG];
--- a/proxy/src/test/java/spurroad/program/LongValueTest.java
+++ b/proxy/src/test/java/spurroad/program/LongValueTest.java
@@ -37,10 +37,10 @@
         private final CountDownLatch ended = new CountDownLatch(1);
 
         private Node(Script script) throws IOException {
-            daemon(() -> {
+            Peers.daemon(() -> {
                 while (true) {
                     Socket s = server.accept();
-                    daemon(() -> serve(s, script));
+                    Peers.daemon(() -> serve(s, script));
                 }
             });
         }
@@ -71,22 +71,6 @@
         }
     }
 
-    private interface Work {
-        void run() throws Exception;
-    }
-
-    private static void daemon(Work work) {
-        Thread t = new Thread(() -> {
-            try {
-                work.run();
-            } catch (Exception e) {
-                // its peer or the test closed it
-            }
-        });
-        t.setDaemon(true);
-        t.start();
-    }
-
     private static byte[] value(int length) {
         byte[] value = new byte[length];
         new Random(length).nextBytes(value);
