Beside another, a process shares descriptors by halves and makes room before it takes less

Change: half each while both serve, little more than it holds for one that ends; what a process holds beyond its bound is told and left to it; idle connections to nodes are closed before the bound falls.

--- a/proxy/src/main/java/spurroad/program/Handover.java
+++ b/proxy/src/main/java/spurroad/program/Handover.java
@@ -218,8 +218,8 @@
     }
 
     /**
-     * What is left for this process. Those before keep half, or what they hold where that is more, and once they end only what
-     * they hold; the last takes what they leave.
+     * What this process may hold. Those before may hold half, and once they end little more than they do; the last
+     * takes what they leave. Who holds more than it may tells so and takes no further one until it does not.
      */
     private int bound() {
         int all = allPlaces - others.size() * ownOfEach;
@@ -231,16 +231,21 @@
             .noneMatch(o -> o.getValue() != null && o.getValue().after(self, o.getKey(), pid));
         int held = here == null ? 0 : here.placesHeld();
         int wanted = last ? all - others.values().stream().mapToInt(o -> o == null ? 0 : o.places()).sum()
-            : ending ? held + SLACK : Math.max(all / 2, held + SLACK);
+            : ending ? Math.min(all / 2, held + SLACK) : all / 2;
         return Math.max(LEAST, Math.min(wanted, all - LEAST));
     }
 
+    /** What others have to leave it. */
+    private int holds() {
+        return Math.max(places, here == null ? 0 : here.placesHeld());
+    }
+
     private ProcessState state() {
-        return new ProcessState(begunMs, servingMs, ending, places, out.keySet());
+        return new ProcessState(begunMs, servingMs, ending, holds(), out.keySet());
     }
 
     private void tellOthers() throws IOException {
-        ProcessState now = new ProcessState(begunMs, servingMs, ending, places, new TreeSet<>(out.keySet()));
+        ProcessState now = new ProcessState(begunMs, servingMs, ending, holds(), new TreeSet<>(out.keySet()));
         if (!now.equals(lastTold)) {
             folder.tell(now);
             lastTold = now;
--- a/proxy/src/main/java/spurroad/program/ProcessState.java
+++ b/proxy/src/main/java/spurroad/program/ProcessState.java
@@ -12,7 +12,7 @@
  * @param begunMs   when the process began, Unix time in milliseconds
  * @param servingMs since when it serves, the same; zero where it does not yet
  * @param ending    whether it was told to end
- * @param places    descriptors that it may hold for clients and nodes at most
+ * @param places    descriptors for clients and nodes that it may hold, or holds where that is more
  * @param out       the cache nodes that it holds out of use, by the hash of their ids in hexadecimal digits
  */
 record ProcessState(long begunMs, long servingMs, boolean ending, int places, Set<String> out) {
--- a/proxy/src/main/java/spurroad/program/Service.java
+++ b/proxy/src/main/java/spurroad/program/Service.java
@@ -119,7 +119,12 @@
 
     @Override
     public void places(int most) {
-        descriptors.resize(most);
+        // not below what is held: clients who come meanwhile would find no place
+        int over = descriptors.held() - most;
+        if (over > 0) {
+            decider.closeIdle(over);
+        }
+        descriptors.resize(Math.max(most, descriptors.held()));
     }
 
     Figures figures() {
--- a/proxy/src/main/java/spurroad/routing/Decider.java
+++ b/proxy/src/main/java/spurroad/routing/Decider.java
@@ -276,14 +276,19 @@
         }
     }
 
-    private void closeIdleEverywhere() {
-        nodes.values().forEach(n -> forLoop.add(n::closeLongestIdle));
+    private void closeIdleEverywhere(int each) {
+        nodes.values().forEach(n -> forLoop.add(() -> n.closeLongestIdle(each)));
     }
 
     // ---- told by whoever lacks descriptors
 
     void placesNeeded() {
-        mailbox.tell(this::closeIdleEverywhere);
+        mailbox.tell(() -> closeIdleEverywhere(1));
+    }
+
+    /** Has about so many idle connections to nodes closed; from any thread. */
+    public void closeIdle(int connections) {
+        mailbox.tell(() -> closeIdleEverywhere((connections + nodes.size() - 1) / Math.max(1, nodes.size())));
     }
 
     // ---- told by the list
@@ -364,6 +369,7 @@
         balance.byHand(clock.now(), id, out, fresh());
         carryOut();
         NodeActor n = nodes.get(id);
+        log.event(out ? "out of use by hand" : "given back by hand", n == null ? "a node that is not listed now" : n);
         if (n != null) {
             forLoop.add(() -> n.held(out));
         }
--- a/proxy/src/main/java/spurroad/routing/NodeActor.java
+++ b/proxy/src/main/java/spurroad/routing/NodeActor.java
@@ -112,9 +112,9 @@
         }
     }
 
-    /** Where descriptors are short: the connection that has been idle the longest. */
-    void closeLongestIdle() {
-        if (!idle.isEmpty()) {
+    /** Where descriptors are short: the connections that have been idle the longest, so many at most. */
+    void closeLongestIdle(int most) {
+        for (int i = 0; i < most && !idle.isEmpty(); i++) {
             idle.poll().close();
         }
     }
@@ -150,6 +150,9 @@
             c.write(e);
         } else if (around.descriptors.takeForNode()) {
             connect(e);
+        } else if (!idle.isEmpty()) {
+            // one that rests is ready sooner than a place that others would have to give up
+            around.loop.after(idle.peekFirst().idleSince + around.restNs - now(), () -> place(e));
         } else if (now() - e.begunAt < around.connectNs) {
             around.log.trouble("no descriptor left for nodes", name);
             around.closeIdleEverywhere.run();
--- a/proxy/src/test/java/spurroad/program/HandoverTest.java
+++ b/proxy/src/test/java/spurroad/program/HandoverTest.java
@@ -132,6 +132,8 @@
         old.handover.ending();
         await(() -> old.places < (ALL - OWN) / 2 && next.places > (ALL - OWN) / 2);
         assertTrue(old.places >= old.held && old.places + next.places <= ALL - OWN);
+        old.held = 100; // more than it may: the other leaves it that
+        await(() -> next.places == ALL - OWN - 100);
         old.handover.end();
         await(() -> next.places == ALL);
         assertTrue(!next.handover.successorServes());
