--- a/proxy/src/main/java/spurroad/program/Handover.java
+++ b/proxy/src/main/java/spurroad/program/Handover.java
@@ -77,10 +77,18 @@
         tellOthers();
     }
 
-    /** The one of a proxy; null where its listening socket is its own, so that no other can be beside it. */
-    static Handover of(ProxyStart start, EventLog log) throws IOException, InterruptedException {
-        return start.shared == null ? null
-            : new Handover(start.shared, ProcessHandle.current().pid(), start.places, start.ownSockets, log);
+    /**
+     * The one of a proxy; null where its listening socket is its own, so that no other can be beside it, or where the
+     * folder can't be worked: then it serves alone, which is told.
+     */
+    static Handover of(ProxyStart start, EventLog log) throws InterruptedException {
+        try {
+            return start.shared == null ? null
+                : new Handover(start.shared, ProcessHandle.current().pid(), start.places, start.ownSockets, log);
+        } catch (IOException e) {
+            log.trouble("no hand-over, the shared folder can't be worked", e);
+            return null;
+        }
     }
 
     /** How many descriptors this process may hold for clients and nodes at its start. */
