--- a/proxy/src/main/java/spurroad/transport/Connection.java
+++ b/proxy/src/main/java/spurroad/transport/Connection.java
@@ -175,6 +175,11 @@
         }
     }
 
+    /** How many bytes were written and wait here for the system to take them. */
+    long waitingBytes() {
+        return waiting.stream().mapToLong(message -> message.length).sum() - at;
+    }
+
     /** How many bytes the system has taken of what was written. */
     public long taken() {
         return taken;
--- /dev/null
+++ b/proxy/src/test/java/spurroad/transport/HeldBytesTest.java
@@ -0,0 +1,73 @@
+package spurroad.transport;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import java.nio.ByteBuffer;
+import java.nio.channels.Pipe;
+import java.util.Random;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import org.testng.annotations.Test;
+
+public class HeldBytesTest {
+    private static final int PIECE = 64 * 1024, PIECES = 60;
+
+    /** Whoever passes on only while all has been taken has one piece held at most, however slowly that is read. */
+    @Test
+    public void whatIsPassedOnOnlyOnceAllWasTakenIsNeverMoreThanAPiece() throws Exception {
+        for (long seed = 0; seed < 5; seed++) {
+            Random random = new Random(seed);
+            EventLog log = new EventLog();
+            Loop loop = new Loop(log, new Clock());
+            new Threads(log).start("loop", loop);
+            Pipe back = Pipe.open(), there = Pipe.open();
+            AtomicLong most = new AtomicLong(), sent = new AtomicLong();
+            CountDownLatch all = new CountDownLatch(1);
+            Connection c = new Connection(loop, back.source(), there.sink(), () -> { });
+            ByteBuffer piece = ByteBuffer.allocateDirect(PIECE);
+            Connection.User user = new Connection.User() {
+                private int pieces;
+
+                @Override
+                public void connected() { }
+
+                @Override
+                public void came(ByteBuffer bytes) { }
+
+                @Override
+                public void drained() {
+                    while (pieces < PIECES && c.isDrained()) {
+                        pieces++;
+                        piece.clear().limit(1 + random.nextInt(PIECE));
+                        sent.addAndGet(piece.remaining());
+                        c.write(piece);
+                        most.accumulateAndGet(c.waitingBytes(), Math::max);
+                    }
+                    if (pieces == PIECES) {
+                        all.countDown();
+                    }
+                }
+
+                @Override
+                public void ended() { }
+            };
+            loop.tell(() -> {
+                c.open(user);
+                user.drained();
+            });
+            long got = 0;
+            ByteBuffer into = ByteBuffer.allocate(20_000);
+            while (all.getCount() > 0 || got < sent.get()) {
+                into.clear();
+                got += Math.max(0, there.source().read(into));
+                Thread.sleep(random.nextInt(2));
+            }
+            assertTrue(all.await(1, TimeUnit.SECONDS));
+            assertEquals(got, sent.get());
+            assertTrue(most.get() > 0 && most.get() <= PIECE, "held " + most);
+            loop.end();
+        }
+    }
+}
