Found on a reread: one way to drop an answer, to give way, to tell a state; twins in tests

No change of behaviour. A connection's close treated its waiting answers and the one being written by two copies of the same lines; closeIfIdle repeated what gives a place up; the state told to other processes was put together twice; isLong is true of writes alone. Tests and drivers share WATCH, the free port and the call on a loop.

--- a/core/src/main/java/spurroad/admission/Claim.java
+++ b/core/src/main/java/spurroad/admission/Claim.java
@@ -20,7 +20,7 @@
         this.patienceNs = patienceNs;
     }
 
-    /** How overdue one is that has been quiet for so long, in nanoseconds; from 1 on it may be closed, the highest first. */
+    /** How overdue one is that was quiet for so long, in nanoseconds; from 1 on it may go, the highest first. */
     public double overdue(long quietNs) {
         return this == QUERY ? 0 : (double) quietNs / patienceNs;
     }
--- a/proxy/src/main/java/spurroad/program/Handover.java
+++ b/proxy/src/main/java/spurroad/program/Handover.java
@@ -249,11 +249,11 @@
     }
 
     private ProcessState state() {
-        return new ProcessState(begunMs, servingMs, ending, holds(), out.keySet());
+        return new ProcessState(begunMs, servingMs, ending, holds(), new TreeSet<>(out.keySet()));
     }
 
     private void tellOthers() throws IOException {
-        ProcessState now = new ProcessState(begunMs, servingMs, ending, holds(), new TreeSet<>(out.keySet()));
+        ProcessState now = state();
         if (!now.equals(lastTold)) {
             folder.tell(now);
             lastTold = now;
--- a/proxy/src/main/java/spurroad/program/Main.java
+++ b/proxy/src/main/java/spurroad/program/Main.java
@@ -66,8 +66,8 @@
                 }
                 Runtime.getRuntime().addShutdownHook(new Thread(() -> shutDown(service)));
             } catch (IOException e) {
-                end("spurroad: can't listen at " + (start.listenDescriptor.isEmpty() ? start.listen : "descriptor 0") + ": "
-                    + e.getMessage(), FAILED);
+                Object at = start.listenDescriptor.isEmpty() ? start.listen : "descriptor 0";
+                end("spurroad: can't listen at " + at + ": " + e.getMessage(), FAILED);
             }
         } catch (FaultyKeyException e) {
             end("spurroad: " + e.getMessage(), MISUSED);
--- a/proxy/src/main/java/spurroad/protocol/Http.java
+++ b/proxy/src/main/java/spurroad/protocol/Http.java
@@ -44,7 +44,7 @@
         return request("GET", target, host, Map.of(), 0, null);
     }
 
-    /** The origin's form of a query, but for a long value: the id and the list of names and values go on as they came. */
+    /** The origin's form of a query, but for a long value: the id and the list go on as they came. */
     public static byte[] forOrigin(MetaCommand c, String host) {
         Map<String, String> headers = Map.of("X-Request-Id", c.id(), "X-Extras", c.extras());
         boolean write = c.kind == MetaCommand.Kind.WRITE;
@@ -121,8 +121,8 @@
         byte[] body = passes ? null : body(in, head);
         LoadReport load = Pairs.load(Pairs.read(head.headers.getOrDefault("x-load", "")));
         if (passes) {
-            return new Reply(Outcome.COMPLETED, CacheNote.NONE, load, MetaReply.text(MetaReply.valueLine(told, query.id())),
-                head.more(), new Reply.Rest(told, false));
+            byte[] line = MetaReply.text(MetaReply.valueLine(told, query.id()));
+            return new Reply(Outcome.COMPLETED, CacheNote.NONE, load, line, head.more(), new Reply.Rest(told, false));
         }
         boolean notRun = (head.status == 503 || head.status == 504)
             && "1".equals(head.headers.get("x-not-run"));
--- a/proxy/src/main/java/spurroad/routing/ClientConnection.java
+++ b/proxy/src/main/java/spurroad/routing/ClientConnection.java
@@ -25,13 +25,13 @@
     private static final long ASKS_ON_NS = 5_000_000L; // ns; a client that has a next query waiting asks within that
     private static final long FRESH_NS = 250_000_000L; // ns; who opens a connection for a query sends it sooner
     private static final long HOLDING_NS = 1_000_000_000L; // ns; for guests, and for answers where memory is short
-    private static final long IDLE_NS = 2_200_000_000L; // ns; so long without a byte of a command: owed a word or a close; heads take 2 s
+    private static final long IDLE_NS = 2_200_000_000L; // ns; without a byte of a command: owed a close; heads take 2 s
     private static final long LONGEST_NS = 20_000_000_000L; // ns; for a command without a long value
     private static final long ROOM_NS = 20_000_000L; // ns; between looks for room for a long value
     private static final long CROWDED_NS = 300_000_000L; // ns; the same after an answer where many are connected
     private static final long FAULT_REST_NS = 100_000_000L; // ns; who sends nonsense again at once costs others nothing
     private static final int PASSING_BYTES = 64 * 1024; // bytes; of a long value that wait for the client, at most
-    private static final int SYSTEM_BYTES = 128 * 1024; // bytes; of a long value in the system's buffers: it takes twice that
+    private static final int SYSTEM_BYTES = 128 * 1024; // bytes; of a long value; the system takes twice that
     private static final long TAKING_NS = 30_000_000_000L; // ns; for those to be taken, at 10 KB a second
     private static final int LONG_BYTES = 16 * 1024; // bytes; a shorter answer fits whole into the client's buffers
     private static final int LAST_BYTES = 256 * 1024; // bytes; read on after a last answer, so that it arrives
@@ -119,7 +119,7 @@
             if (command == null) {
                 break;
             }
-            if (command.isLong() && command.kind == MetaCommand.Kind.WRITE) {
+            if (command.isLong()) {
                 begin(new Upload(command));
             } else {
                 taken(command, 0);
@@ -172,8 +172,7 @@
             taken(whole, room);
             work();
         } catch (ProtocolException e) {
-            clients.uploads.give(uploadRoom);
-            uploadRoom = 0;
+            giveUploadRoom();
             upload = null;
             Slot slot = new Slot();
             slots.add(slot);
@@ -182,6 +181,11 @@
         }
     }
 
+    private void giveUploadRoom() {
+        clients.uploads.give(uploadRoom);
+        uploadRoom = 0;
+    }
+
     private int waiting() {
         return slots.size() + (writing == null ? 0 : 1);
     }
@@ -418,27 +422,27 @@
                     clients.decider.left(slot.query);
                 }
             }
-            ended(slot, Results.End.LEFT);
-            if (slot.passage != null) {
-                slot.passage.giveUp();
-            }
-            giveRoom(slot);
+            drop(slot);
         }
         if (writing != null) {
-            ended(writing, Results.End.LEFT);
-            if (writing.passage != null) {
-                writing.passage.giveUp();
-            }
-            giveRoom(writing);
+            drop(writing);
         }
-        clients.uploads.give(uploadRoom);
-        uploadRoom = 0;
+        giveUploadRoom();
         slots.clear();
         writing = null;
         connection.close();
         clients.ended(this);
     }
 
+    /** Nobody takes its answer any more. */
+    private void drop(Slot slot) {
+        ended(slot, Results.End.LEFT);
+        if (slot.passage != null) {
+            slot.passage.giveUp();
+        }
+        giveRoom(slot);
+    }
+
     private boolean isBetweenCommands() {
         return slots.isEmpty() && writing == null && in.available() == 0 && upload == null && !lost;
     }
@@ -454,7 +458,7 @@
      * up to 400 KB were cut off so on the day of four times the queries, some 14 ms after their clients' time was over,
      * and their queries lost).
      */
-    boolean idle() {
+    private boolean idle() {
         long now = clients.now();
         return isBetweenCommands() && now > takingUntil && now - idleSince > (answered ? REST_NS : FRESH_NS);
     }
@@ -464,9 +468,8 @@
      * client has to send again; an ordered end would tell it that the command was taken (lost in the first incident).
      */
     void closeIfIdle() {
-        if (idle() && !connection.unread()) {
-            connection.reset();
-            close();
+        if (idle()) {
+            giveWay();
         }
     }
 
@@ -482,8 +485,8 @@
         return claim().overdue(clients.now() - quietSince());
     }
 
-    /** Closes it for one who needs the place, unless something has just come. */
-    void yield() {
+    /** Closes it by a reset, unless something has just come. */
+    void giveWay() {
         if (!connection.unread()) {
             connection.reset();
             close();
--- a/proxy/src/main/java/spurroad/routing/Clients.java
+++ b/proxy/src/main/java/spurroad/routing/Clients.java
@@ -149,7 +149,7 @@
         log.trouble("no descriptor left for clients", connections.size() + " connected");
         List<Overdue> overdue = connections.stream().map(c -> new Overdue(c, c.overdue())).filter(o -> o.by >= 1)
             .sorted(Comparator.comparingDouble(Overdue::by).reversed()).limit(AT_ONCE).toList();
-        overdue.forEach(o -> o.connection.yield());
+        overdue.forEach(o -> o.connection.giveWay());
         if (overdue.isEmpty()) {
             decider.placesNeeded();
         }
@@ -193,7 +193,7 @@
 
     private void closeQuiet() {
         List.copyOf(connections).stream().filter(c -> now() - c.quietSince() > QUIET_NS && c.overdue() >= 1)
-            .forEach(ClientConnection::yield);
+            .forEach(ClientConnection::giveWay);
         if (!connections.isEmpty()) {
             loop.after(TIDY_NS, this::closeQuiet);
         }
--- a/proxy/src/main/java/spurroad/routing/Decider.java
+++ b/proxy/src/main/java/spurroad/routing/Decider.java
@@ -385,11 +385,12 @@
 
     private void node(Member m) {
         boolean origin = m.entry().kind().equals(figures.deployment.originKind());
-        NodeActor n = nodes.get(m.entry().id());
+        NodeId id = m.entry().id();
+        NodeActor n = nodes.get(id);
         if (n == null) {
             NodeActor added = new NodeActor(around, m, origin);
-            nodes.put(m.entry().id(), added);
-            if (byHand.contains(m.entry().id())) {
+            nodes.put(id, added);
+            if (byHand.contains(id)) {
                 forLoop.add(() -> added.held(true));
             }
         } else {
--- a/proxy/src/main/java/spurroad/start/ProxyStart.java
+++ b/proxy/src/main/java/spurroad/start/ProxyStart.java
@@ -23,7 +23,7 @@
     private static final double CORES = 1, LEAST_CORES = 0.01; // of a core; where no limit is told, one
     private static final double LEAST_MEMORY_MB = 64; // MiB; the virtual machine alone takes 45
     private static final double LEAST_SOCKETS = 64; // descriptors; fewer leave none for clients
-    private static final int OWN_SOCKETS = 20; // descriptors; the virtual machine's, loops and the list's: 14 were seen, and room
+    private static final int OWN_SOCKETS = 20; // descriptors; the virtual machine's and of loops: 14 were seen, and room
     private static final int ADMIN_SOCKETS = 20; // descriptors; of the second address: 16 callers and what hears them
     private static final double OWN_MB = 45; // MiB; the virtual machine at rest
     private static final double HEAP_SHARE = 0.22; // of the memory: queries may hold an eighth, and their garbage
@@ -31,7 +31,8 @@
     private static final int LEAST_PLACES = 32; // connections; with less memory we hope rather than serve nobody
 
     private static final String ADMIN = "BALANCER_ADMIN_ADDR"; // goes before the file: each process has its own
-    private static final Set<String> TOLD_ANEW = Set.of("discovery", "seed", "known", "admin_addr"); // keys; new with each file
+    private static final Set<String> TOLD_ANEW = // keys; new with each file
+        Set.of("discovery", "seed", "known", "admin_addr");
 
     public final String name;
     public final InetSocketAddress listen;
@@ -117,8 +118,9 @@
         keys.addAll(whole.keySet());
         keys.addAll(other.whole.keySet());
         keys.removeAll(TOLD_ANEW);
+        keys.remove("settings"); // which tell by themselves
         keys.removeIf(key -> Objects.equals(whole.get(key), other.whole.get(key)));
-        List<String> changed = new ArrayList<>(keys.stream().filter(k -> !k.equals("settings")).map(String::valueOf).toList());
+        List<String> changed = new ArrayList<>(keys.stream().map(String::valueOf).toList());
         changed.addAll(figures.changedForGood(other.figures));
         return changed;
     }
--- a/proxy/src/test/java/spurroad/overload/Operation.java
+++ b/proxy/src/test/java/spurroad/overload/Operation.java
@@ -11,8 +11,6 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.Locale;
-import java.util.concurrent.CompletableFuture;
-import java.util.function.Supplier;
 import spurroad.Peers;
 import spurroad.overload.Platform.Proxy;
 import spurroad.protocol.ByteSource;
@@ -92,18 +90,12 @@
     }
 
     private void play(double times) {
-        on(() -> {
+        Overload.call(clients, () -> {
             load.play(new Load.Plan(per * times, CONNECTIONS, 300 * MS, 1500 * MS, 4, Load.Retry.SPREAD));
             return load.take();
         });
     }
 
-    private <T> T on(Supplier<T> work) {
-        CompletableFuture<T> done = new CompletableFuture<>();
-        clients.tell(() -> done.complete(work.get()));
-        return done.join();
-    }
-
     private static void tell(String form, Object... figures) {
         System.out.printf(Locale.ROOT, form + "%n", figures);
     }
@@ -126,7 +118,7 @@
             took[i] = (System.nanoTime() - since) / 1e6;
             Thread.sleep(200);
         }
-        Load.Result r = on(load::take);
+        Load.Result r = Overload.call(clients, load::take);
         Arrays.sort(took);
         tell("calls at %d queries a second, %d silent callers: longest %.0f ms, median %.0f ms, %d of %d wrong; served in "
             + "time %d, rejections %d", (int) (16 * per), SILENT, took[took.length - 1], took[took.length / 2], wrong,
@@ -175,7 +167,7 @@
         Proxy old = proxy(configuration);
         play(1);
         Thread.sleep(2_000);
-        on(load::take);
+        Overload.call(clients, load::take);
         double most = 0, ready = 0;
         for (int i = 0; i < count; i++) {
             long since = System.nanoTime();
@@ -189,11 +181,11 @@
             old = next;
             Thread.sleep(500);
         }
-        Load.Result r = on(load::take);
+        Load.Result r = Overload.call(clients, load::take);
         tell("%d upgrades at %d queries a second: %d of %d queries turned back unheard, %d failed, %d rejections; ready after "
             + "%.1f s at most; both hold %.0f MiB at most", count, (int) per, r.broken, r.due, r.failed, r.rejections,
             ready, most);
-        on(() -> {
+        Overload.call(clients, () -> {
             load.stop();
             return null;
         });
--- a/proxy/src/test/java/spurroad/overload/Overload.java
+++ b/proxy/src/test/java/spurroad/overload/Overload.java
@@ -104,13 +104,13 @@
         new ProcessBuilder("kill", "-" + name, Long.toString(pid)).start().waitFor();
     }
 
-    private static <T> T call(Loop loop, Supplier<T> work) {
+    static <T> T call(Loop loop, Supplier<T> work) {
         CompletableFuture<T> done = new CompletableFuture<>();
         loop.tell(() -> done.complete(work.get()));
         return done.join();
     }
 
-    private static int free() throws IOException {
+    static int free() throws IOException {
         try (ServerSocket s = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
             return s.getLocalPort();
         }
--- a/proxy/src/test/java/spurroad/overload/Platform.java
+++ b/proxy/src/test/java/spurroad/overload/Platform.java
@@ -93,7 +93,7 @@
      * @param command       what starts the virtual machine, up to the word before `serve`
      */
     public Proxy start(String configuration, String command) throws IOException {
-        int admin = freePort();
+        int admin = Overload.free();
         Path file = Files.writeString(Files.createTempFile(folder, "proxy", ".json"), configuration);
         Path log = Path.of(file + ".log");
         Map<String, String> environment = Map.of("BALANCER_CONFIG", file.toString(), "TMPDIR", folder.toString(),
@@ -124,12 +124,6 @@
         throw new IOException("never ready: " + Files.readString(p.log));
     }
 
-    private static int freePort() throws IOException {
-        try (java.net.ServerSocket s = new java.net.ServerSocket(0, 1, java.net.InetAddress.getLoopbackAddress())) {
-            return s.getLocalPort();
-        }
-    }
-
     /** The classes of the proxy as they stand, on this machine's Java with the flags of a small one. */
     public static String fromClasses() {
         return String.join(" ", List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString(),
--- a/proxy/src/test/java/spurroad/program/LongValueTest.java
+++ b/proxy/src/test/java/spurroad/program/LongValueTest.java
@@ -23,7 +23,6 @@
 
 /** Values far over what is held at once, from and to peers that are slow, cut them anywhere or break off. */
 public class LongValueTest {
-    private static final String WATCH = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
     private static final int LONG = 4 * 1024 * 1024;
 
     private interface Script {
@@ -82,7 +81,7 @@
     }
 
     private static Service proxy(int node, int origin) throws Exception {
-        return ServiceTest.proxy(new Peer(m -> WATCH), 256, Peers.target("s-1", "m1", node, "active", 0),
+        return ServiceTest.proxy(new Peer(m -> ServiceTest.WATCH), 256, Peers.target("s-1", "m1", node, "active", 0),
             Peers.target("s-o", "origin", origin, "active", 0));
     }
 
--- a/proxy/src/test/java/spurroad/program/OperationTest.java
+++ b/proxy/src/test/java/spurroad/program/OperationTest.java
@@ -18,7 +18,6 @@
 
 /** What staff do with a proxy that serves: figures, nodes out of use, settings that change. */
 public class OperationTest {
-    private static final String WATCH = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
 
     private static String figures(Service s) {
         StringBuilder all = new StringBuilder();
@@ -46,7 +45,7 @@
     @Test
     public void nothingNewReachesANodeThatStaffTookOutUntilTheyGiveItBack() throws Exception {
         try (Peer a = new Peer(ServiceTest.hit("a")); Peer b = new Peer(ServiceTest.hit("b"));
-             Peer discovery = new Peer(m -> WATCH)) {
+             Peer discovery = new Peer(m -> ServiceTest.WATCH)) {
             String first = Peers.target("s-1", "m1", a.port, "active", 0), second = Peers.target("s-2", "m1", b.port,
                 "active", 0);
             Service s = ServiceTest.proxy(discovery, 256, first, second);
@@ -77,7 +76,7 @@
     public void figuresAddUp() throws Exception {
         Random random = new Random(5);
         try (Peer n = new Peer(m -> random.nextInt(4) == 0 ? null : random.nextInt(3) == 0 ? "SERVER_ERROR failed\r\n"
-            : ServiceTest.hit("v").apply(m)); Peer discovery = new Peer(m -> WATCH)) {
+            : ServiceTest.hit("v").apply(m)); Peer discovery = new Peer(m -> ServiceTest.WATCH)) {
             Service s = ServiceTest.proxy(discovery, 256, Peers.target("s-1", "m1", n.port, "active", 0));
             int taken = 0;
             for (int i = 0; i < 20; i++) {
@@ -102,7 +101,7 @@
 
     @Test
     public void settingsChangeWholeOrNotAtAll() throws Exception {
-        try (Peer n = new Peer(ServiceTest.hit("v")); Peer discovery = new Peer(m -> WATCH)) {
+        try (Peer n = new Peer(ServiceTest.hit("v")); Peer discovery = new Peer(m -> ServiceTest.WATCH)) {
             String known = Peers.list(1, true, Peers.target("s-1", "m1", n.port, "active", 0));
             String first = Peers.start(discovery.port, 256, known);
             String other = first.replace("{\"name\":\"read\",", "{\"name\":\"look\",\"statementTimeoutUs\":9000000,")
--- a/proxy/src/test/java/spurroad/program/ServiceTest.java
+++ b/proxy/src/test/java/spurroad/program/ServiceTest.java
@@ -25,7 +25,7 @@
 /** The whole proxy between scripted clients, cache nodes, an origin and discovery. */
 public class ServiceTest {
     static final String READ = "mg k v O1 Pc=read,t=acme,d=9000\r\n";
-    private static final String WATCH = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    static final String WATCH = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
 
     private static String id(String message) {
         return message.replaceFirst("(?s).*? O(\\S+).*", "$1");
--- a/proxy/src/test/java/spurroad/program/UpgradeTest.java
+++ b/proxy/src/test/java/spurroad/program/UpgradeTest.java
@@ -21,7 +21,6 @@
 
 /** Real processes on one listening socket, as a platform starts them beside each other. */
 public class UpgradeTest {
-    private static final String WATCH = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
 
     private static String configuration(Peer discovery, Peer... nodes) {
         List<String> targets = new ArrayList<>();
@@ -85,7 +84,7 @@
     @Test
     public void twoUpgradesUnderLoadTurnNobodyBackAndKeepWhatStaffSaid() throws Exception {
         try (Peer a = new Peer(ServiceTest.hit("v")); Peer b = new Peer(ServiceTest.hit("v"));
-             Peer discovery = new Peer(m -> WATCH); Platform platform = new Platform()) {
+             Peer discovery = new Peer(m -> ServiceTest.WATCH); Platform platform = new Platform()) {
             String configuration = configuration(discovery, a, b);
             Proxy old = platform.ready(configuration, Platform.fromClasses());
             assertTrue(old.call("POST", "/cache-nodes/s-0/maint").startsWith("HTTP/1.1 200"));
@@ -111,7 +110,7 @@
 
     @Test
     public void aNewOneThatDiesBeforeItServesChangesNothing() throws Exception {
-        try (Peer a = new Peer(ServiceTest.hit("v")); Peer discovery = new Peer(m -> WATCH);
+        try (Peer a = new Peer(ServiceTest.hit("v")); Peer discovery = new Peer(m -> ServiceTest.WATCH);
              Platform platform = new Platform()) {
             String configuration = configuration(discovery, a);
             Proxy old = platform.ready(configuration, Platform.fromClasses());
