--- a/proxy/src/main/java/spurroad/program/Main.java
+++ b/proxy/src/main/java/spurroad/program/Main.java
@@ -47,6 +47,8 @@
         }
         // from the first moment: the default is to end, and under load this thread may be late to say otherwise
         CompletableFuture<Service> up = new CompletableFuture<>();
+        Life life = new Life();
+        Runtime.getRuntime().addShutdownHook(new Thread(life::end));
         Signal.handle(new Signal("HUP"),
             hup -> up.thenAccept(s -> s.reload(() -> ProxyStart.ofEnvironment(System.getenv()))));
         try {
@@ -59,12 +61,11 @@
                 AdminServer admin = start.admin == null ? null : admin(start, threads, log, clock);
                 Handover handover = Handover.of(start, log); // before it plays: another makes room meanwhile
                 new Rehearsal(start).play(threads, log, clock);
-                Service service = new Service(start, threads, log, clock, handover);
+                Service service = life.begin(() -> new Service(start, threads, log, clock, handover));
                 up.complete(service);
                 if (admin != null) {
                     admin.serves(service.calls());
                 }
-                Runtime.getRuntime().addShutdownHook(new Thread(() -> shutDown(service)));
             } catch (IOException e) {
                 Object at = start.listenDescriptor.isEmpty() ? start.listen : "descriptor 0";
                 end("spurroad: can't listen at " + at + ": " + e.getMessage(), FAILED);
@@ -94,13 +95,39 @@
         }
     }
 
-    private static void shutDown(Service service) {
-        try {
-            service.end();
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt();
+    /**
+     * The service's beginning and end, of which SIGTERM may come before, between or after: what was accepted is answered,
+     * and nothing is accepted once it has come.
+     */
+    private static final class Life {
+        /** Starts a service. */
+        interface Start {
+            Service begin() throws IOException, InterruptedException;
+        }
+
+        private Service service;
+        private boolean ended;
+
+        synchronized Service begin(Start start) throws IOException, InterruptedException {
+            while (ended) {
+                wait(); // for the end of the process
+            }
+            service = start.begin();
+            return service;
+        }
+
+        /** Ends the process where it serves; else there is nothing to wait for. */
+        synchronized void end() {
+            ended = true;
+            try {
+                if (service != null) {
+                    service.end();
+                    Runtime.getRuntime().halt(0);
+                }
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
         }
-        Runtime.getRuntime().halt(0);
     }
 
     private static void wirehost() throws IOException {
--- a/proxy/src/main/java/spurroad/program/Service.java
+++ b/proxy/src/main/java/spurroad/program/Service.java
@@ -4,6 +4,7 @@
 import java.nio.channels.ServerSocketChannel;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
@@ -32,12 +33,14 @@
 public final class Service implements Handover.Here {
     private static final long STILL_ACCEPT_NS = 500_000_000L; // ns; new connections go on coming for up to 400 ms
     private static final long CLOSING_MS = 200; // ms; for those whom the system has accepted
-    private static final long GRACE_NS = 650_000_000L; // ns; after the longest wait, before it may be killed: 0.7 s
+    private static final long MOST_WAIT_NS = 3_000_000_000L; // ns; a longer wait of clients is not waited for by whoever kills
+    private static final long GRACE_NS = 600_000_000L; // ns; after that wait it may be killed 0.7 s later; and a stall
     private static final long LAST_NS = 400_000_000L; // ns; what comes last still has so long for its answer
     private static final long MOST_ON_NS = 2_500_000_000L; // ns; whoever takes over is up by then
     private static final long LOOK_MS = 5; // ms; how often it is looked whether all clients are gone
     private static final long LONGEST_END_NS = 10_000_000_000L; // ns; longer than clients wait
 
+    private static final long FIRST_LIST_NS = 3_000_000_000L; // ns; a list that is pushed comes within milliseconds
     private static final long REST_NS = 10_000_000L; // ns; of a node's connection: what follows an answer comes in less
 
     private final EventLog log;
@@ -50,6 +53,7 @@
     private final Decider decider;
     private final Clock clock;
     private final AtomicLong applied = new AtomicLong(), rejected = new AtomicLong(); // files read at SIGHUP
+    private final AtomicBoolean opened = new AtomicBoolean();
     private ProxyStart start;
 
     /**
@@ -83,11 +87,23 @@
             handover.serves(this);
             threads.start("hand-over", handover);
         }
-        listener.begin(serving::countDown);
+        if (list.pushed()) {
+            // what there is to know counts from now on: nothing is taken before it has been heard, or can't be
+            loop.tell(() -> loop.after(FIRST_LIST_NS, this::open));
+            list.begin(this::open);
+        } else {
+            open();
+        }
         log.event("serving", start.name + " at " + start.listen + ", " + descriptors.leftForClients()
             + " places for clients at most, " + descriptors.leftForNodes() + " for nodes");
     }
 
+    private void open() {
+        if (!opened.getAndSet(true)) {
+            listener.begin(serving::countDown);
+        }
+    }
+
     private static ServerSocketChannel inherited() throws IOException {
         if (System.inheritedChannel() instanceof ServerSocketChannel socket) {
             return socket;
@@ -180,8 +196,10 @@
      */
     public void end() throws InterruptedException {
         log.event("ending", clients.count() + " clients connected");
+        open(); // who waits in the system's queue is answered too
         long since = System.nanoTime();
-        long killed = clients.longestWaitNs() + GRACE_NS;
+        // by their own time queries of longer waits were answered after the kill (lost in restarts with hung nodes)
+        long killed = Math.min(MOST_WAIT_NS, clients.longestWaitNs()) + GRACE_NS;
         clients.allAnsweredWithin(killed);
         if (handover != null) {
             handover.ending();
--- a/proxy/src/main/java/spurroad/protocol/Http.java
+++ b/proxy/src/main/java/spurroad/protocol/Http.java
@@ -202,9 +202,42 @@
         return new ByteSource(new Body(in, head.chunked()));
     }
 
-    /** The next line of a stream of lists; null at its end. */
-    public static String listLine(ByteSource stream) throws IOException {
-        return stream.line(MOST_LIST_LINE);
+    /**
+     * The next list of a stream of them, or an empty line; null at its end. A list is one object, which may come indented,
+     * over several lines.
+     */
+    public static String listText(ByteSource stream) throws IOException {
+        String line = stream.line(MOST_LIST_LINE);
+        int depth = line == null ? 0 : depth(line);
+        if (depth <= 0) {
+            return line;
+        }
+        StringBuilder whole = new StringBuilder(line);
+        while (depth > 0) {
+            line = stream.needLine(MOST_LIST_LINE);
+            depth += depth(line);
+            if (whole.append('\n').append(line).length() > MOST_LIST_LINE) {
+                throw new ProtocolException("a list of impossible length");
+            }
+        }
+        return whole.toString();
+    }
+
+    /** How many more objects a line opens than it closes; a text never runs over its line. */
+    private static int depth(String line) {
+        int depth = 0;
+        boolean text = false;
+        for (int i = 0; i < line.length(); i++) {
+            char c = line.charAt(i);
+            if (text && c == '\\') {
+                i++;
+            } else if (c == '"') {
+                text = !text;
+            } else if (!text) {
+                depth += c == '{' ? 1 : c == '}' ? -1 : 0;
+            }
+        }
+        return depth;
     }
 
     private static final class Body extends InputStream {
--- a/proxy/src/main/java/spurroad/routing/Clients.java
+++ b/proxy/src/main/java/spurroad/routing/Clients.java
@@ -213,9 +213,10 @@
         return Math.min(waitMs * NS_PER_MS, answeredBy - now());
     }
 
-    /** From now on all that comes is answered within this time from now, in nanoseconds. */
+    /** All that was taken and all that comes is answered within this time from now, in nanoseconds. */
     public void allAnsweredWithin(long ns) {
         answeredBy = now() + ns;
+        loop.tell(() -> loop.after(ns, decider::answerAll)); // what was taken before may wait longer than that
     }
 
     /** The longest that a client waits for an answer: as told, or as seen since the start; in nanoseconds. */
--- a/proxy/src/main/java/spurroad/routing/Decider.java
+++ b/proxy/src/main/java/spurroad/routing/Decider.java
@@ -241,6 +241,7 @@
     }
 
     void left(Query q) {
+        q.left = true; // at once: what has been decided meanwhile, or waits for a connection, is not begun
         fromLoop.add(() -> {
             if (!q.over) {
                 q.over = true;
@@ -252,6 +253,22 @@
         });
     }
 
+    /** Answers what has no answer yet, as aborted: this process is about to be killed. On the loop. */
+    void answerAll() {
+        fromLoop.add(() -> {
+            for (Query q : List.copyOf(queries.values())) {
+                if (!q.over) {
+                    q.over = true;
+                    tally.answered(false);
+                    forLoop.add(new Answered(q, MetaReply.aborted(), Results.End.ABORTED, null));
+                    balance.left(clock.now(), q.id, fresh());
+                    carryOut();
+                    forget(q);
+                }
+            }
+        });
+    }
+
     // ---- told by the gate
 
     /** The level of service, the part of all that is taken in, and how many have been turned away since. */
--- a/proxy/src/main/java/spurroad/routing/ListWatch.java
+++ b/proxy/src/main/java/spurroad/routing/ListWatch.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.net.Socket;
+import java.util.Random;
 import spurroad.protocol.ByteSource;
 import spurroad.protocol.Http;
 import spurroad.protocol.Json;
@@ -13,37 +14,65 @@
 import spurroad.transport.Loop;
 import spurroad.transport.Threads;
 
-/** The list, worked on the loop: keeps its revision and one watch, or two while discovery moves. */
+/**
+ * The list, worked on the loop: keeps its revision and one watch, or two while discovery moves or a watch is silent.
+ * Where lists are pushed, whoever pushes them is close and not asked by others: there it is followed from the start and
+ * asked again soon. Elsewhere it is followed when the module says so.
+ */
 public final class ListWatch implements Decider.Follow {
-    private static final int SILENT_MS = 7_000; // ms; three beats of a watch and one more half
+    // A watch says something every 2 s, and what a silent one misses counts as told 6 s after it fell silent. By these
+    // figures it is asked anew 2.6 to 3.4 s after its last line, which leaves as long for the answer. By 7 s drains
+    // that followed upon a silence were learned of too late (restless days, all watches silent at once).
+    private static final long SILENT_NS = 2_600_000_000L; // ns; a beat and a third; a call too many costs little
+    private static final long SPREAD_NS = 800_000_000L; // ns; of that: the watches of all proxies fall silent at once
+    private static final long CALL_NS = 4_000_000_000L; // ns; until the first line: discovery answers calls in turn
+    private static final long PUSHED_NS = 100_000_000L; // ns; between calls where lists are pushed
     private static final int CONNECT_MS = 2_000; // ms; one beat
+    private static final int THREAD_MS = 10_000; // ms; longer than any alarm: no thread outlives a socket for long
     private static final int OK = 200;
+    private static final Runnable NOTHING = () -> { };
 
     private final Members.Names names;
     private final Threads threads;
     private final Loop loop;
     private final EventLog log;
     private final Decider decider;
+    private final boolean pushed;
+    private final Random random;
     // the loop's
     private InetSocketAddress discovery;
     private long revision;
     private Watch current, former;
+    private Runnable firstList = NOTHING;
 
     public ListWatch(ProxyStart start, Threads threads, Loop loop, EventLog log, Decider decider) {
         this.threads = threads;
         this.loop = loop;
         this.log = log;
+        this.decider = decider;
         discovery = start.discovery;
         names = start.figures.names;
         revision = start.known.revision();
-        this.decider = decider;
+        pushed = !start.figures.deployment.mustAsk();
+        random = new Random(start.seed);
+    }
+
+    /** Whether lists are pushed: what there is to know counts from the first moment of a process on. */
+    public boolean pushed() {
+        return pushed;
+    }
+
+    /** Follows the list; whoever asked is told, on the loop, once the first has come. */
+    public void begin(Runnable heard) {
+        loop.tell(() -> firstList = heard);
+        follow();
     }
 
     @Override
     public void follow() {
         loop.tell(() -> {
             if (current == null) {
-                begin();
+                call();
             }
         });
     }
@@ -52,18 +81,23 @@
     public void moved(InetSocketAddress to) {
         loop.tell(() -> {
             discovery = to;
-            if (current != null && current.spoke) {
-                endFormer();
-                former = current;
-            } else if (current != null) {
-                current.close();
-            }
-            begin();
+            callAnew();
         });
     }
 
-    private void begin() {
+    private void callAnew() {
+        if (current != null && current.spoke) {
+            endFormer();
+            former = current;
+        } else if (current != null) {
+            current.close();
+        }
+        call();
+    }
+
+    private void call() {
         current = new Watch(discovery, revision);
+        current.listen(CALL_NS);
         threads.start("list", current);
     }
 
@@ -74,6 +108,7 @@
         }
     }
 
+    /** A line has come whole; null where it says nothing. */
     private void heard(Watch from, Members list) {
         if (from != current && from != former) {
             return; // a later watch has told more
@@ -82,19 +117,45 @@
             from.spoke = true;
             endFormer();
         }
-        revision = list.revision();
-        log.event("the list changed", "revision " + revision + ", " + list.members().size() + " entries"
-            + (list.whole() ? ", whole" : ""));
-        decider.listed(list);
+        from.listen(silentNs());
+        if (list != null) {
+            revision = list.revision();
+            log.event("the list changed", "revision " + revision + ", " + list.members().size() + " entries"
+                + (list.whole() ? ", whole" : ""));
+            decider.listed(list);
+            firstList.run();
+            firstList = NOTHING;
+        }
+    }
+
+    private long silentNs() {
+        return SILENT_NS + (long) (random.nextDouble() * SPREAD_NS);
+    }
+
+    /** No whole line for too long, whatever has trickled in. */
+    private void silent(Watch watch) {
+        if (watch == current && watch.spoke) {
+            log.trouble("a watch on the list has fallen silent", "asked anew, since revision " + revision);
+            callAnew();
+            watch.listen(CALL_NS); // beside the call, in case it is only late
+        } else {
+            watch.close();
+            ended(watch, "nothing came"); // not left to its thread, which may hear of that later
+        }
     }
 
     private void ended(Watch watch, String why) {
+        watch.alarm.cancel();
         if (watch == former) {
             former = null;
         } else if (watch == current) {
             current = null;
             log.trouble("the list can't be followed for now", why);
-            decider.listFailed();
+            if (pushed) {
+                loop.after(PUSHED_NS / 2 + (long) (random.nextDouble() * PUSHED_NS), this::follow);
+            } else {
+                decider.listFailed();
+            }
         }
     }
 
@@ -105,18 +166,27 @@
         private final long since;
         // the loop's
         private boolean spoke;
+        private Loop.Alarm alarm = () -> { };
 
         private Watch(InetSocketAddress at, long since) {
             this.at = at;
             this.since = since;
         }
 
+        /** The next line is to come within the time. */
+        private void listen(long ns) {
+            alarm.cancel();
+            if (this == current || this == former) {
+                alarm = loop.after(ns, () -> silent(this));
+            }
+        }
+
         @Override
         public void run() {
             String why = "it ended";
             try {
                 socket.connect(at, CONNECT_MS);
-                socket.setSoTimeout(SILENT_MS);
+                socket.setSoTimeout(THREAD_MS);
                 String host = at.getHostString() + ":" + at.getPort();
                 socket.getOutputStream().write(Http.get("/catalog/members?follow=1&since=" + since, host));
                 ByteSource in = new ByteSource(socket.getInputStream());
@@ -124,12 +194,11 @@
                 if (head.status() != OK) {
                     throw new ProtocolException("answered " + head.status());
                 }
+                loop.tell(() -> listen(silentNs())); // the first line comes after a beat where nothing has changed
                 ByteSource lines = Http.stream(in, head);
-                for (String line = Http.listLine(lines); line != null; line = Http.listLine(lines)) {
-                    if (!line.isBlank()) {
-                        Members list = Members.read(Json.read(line), names);
-                        loop.tell(() -> heard(this, list));
-                    }
+                for (String text = Http.listText(lines); text != null; text = Http.listText(lines)) {
+                    Members list = text.isBlank() ? null : Members.read(Json.read(text), names);
+                    loop.tell(() -> heard(this, list));
                 }
             } catch (IOException e) {
                 why = e.toString();
--- a/proxy/src/test/java/spurroad/protocol/ParsersTest.java
+++ b/proxy/src/test/java/spurroad/protocol/ParsersTest.java
@@ -225,14 +225,14 @@
         String watch = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{\"\r\n4\r\na\"}\n\r\n1\r\n\n\r\n";
         ByteSource in = source(watch + "0\r\n\r\n");
         ByteSource lines = Http.stream(in, Http.head(in));
-        assertEquals(Http.listLine(lines), "{\"a\"}");
-        assertEquals(Http.listLine(lines), "");
-        assertNull(Http.listLine(lines));
+        assertEquals(Http.listText(lines), "{\"a\"}");
+        assertEquals(Http.listText(lines), "");
+        assertNull(Http.listText(lines));
         ByteSource cut = source(watch + "3\r\n{\"");
         ByteSource cutLines = Http.stream(cut, Http.head(cut));
-        Http.listLine(cutLines);
-        Http.listLine(cutLines);
-        assertThrows(IOException.class, () -> Http.listLine(cutLines));
+        Http.listText(cutLines);
+        Http.listText(cutLines);
+        assertThrows(IOException.class, () -> Http.listText(cutLines));
     }
 
     @DataProvider
