One question before a first byte: may anything new begin at this node, for this client

Read from the code: a connection that came up late, or a place, carried a query to a node that had begun to drain, gone, started anew, or whose client had left (NodeConnection.connected and NodeActor.place asked for 'held' alone). Errands called off before they were written say so: never 'may have run'. A kept connection is read once before it is written to: an end or a second answer that the loop has not heard of is seen.

--- a/proxy/src/main/java/spurroad/routing/Errand.java
+++ b/proxy/src/main/java/spurroad/routing/Errand.java
@@ -15,6 +15,8 @@
     NodeConnection connection;
     Loop.Alarm alarm;
     long begunAt;
+    /** Which of the node's processes it was decided for. */
+    int generation;
     /** How long the proxy had been held up when this was decided on. */
     final long stalledNs;
     boolean ended;
--- a/proxy/src/main/java/spurroad/routing/NodeActor.java
+++ b/proxy/src/main/java/spurroad/routing/NodeActor.java
@@ -7,6 +7,7 @@
 import spurroad.model.LoadReport;
 import spurroad.model.NodeId;
 import spurroad.model.Outcome;
+import spurroad.model.Phase;
 import spurroad.protocol.Members.Member;
 import spurroad.protocol.Reply;
 import spurroad.transport.Connection;
@@ -82,8 +83,8 @@
         boolean other = !now.endpoint().equals(member.endpoint())
             || now.entry().startedNs() != member.entry().startedNs();
         reachedAt(now, origin);
-        if (other) {
-            generation++;
+        generation += other ? 1 : 0;
+        if (other || !takesNew()) {
             closeIdle();
         }
     }
@@ -102,8 +103,21 @@
         }
     }
 
-    boolean held() {
-        return held;
+    /**
+     * How an errand ends whose first byte is about to go out and must not; null where it may. Asked there and nowhere
+     * else: the news that forbids it may have come between the decision and a place or a connection.
+     */
+    Outcome forbids(Errand e) {
+        if (e.query != null && e.query.left) {
+            return Outcome.NEVER_SENT; // its client has gone, and the node is not to blame
+        }
+        // a probe of a node that drains is no query, and its failure would speak against the node
+        boolean open = takesNew() || e.query == null && !gone && !held;
+        return open && e.generation == generation ? null : Outcome.NO_CONNECTION;
+    }
+
+    private boolean takesNew() {
+        return !gone && !held && member.entry().phase() == Phase.READY;
     }
 
     void closeIdle() {
@@ -121,15 +135,17 @@
 
     void begin(Errand e) {
         e.begunAt = now();
+        e.generation = generation; // what was decided later comes later
         e.alarm = around.loop.after(e.until - now(), new TimedOut(this, e));
         place(e);
     }
 
-    /** Calls an errand off; the node may go on with it. */
+    /** Calls an errand off; the node may go on with it if all of it has gone out, else it never ran. */
     void stop(Errand e) {
         if (!e.ended) {
             leave(e);
-            end(e, without(Outcome.CANCELLED));
+            end(e, without(e.written ? Outcome.CANCELLED
+                : e.query != null && e.query.left ? Outcome.NEVER_SENT : Outcome.NO_CONNECTION));
         }
     }
 
@@ -139,8 +155,9 @@
         if (e.ended) {
             return;
         }
-        if (held) {
-            end(e, without(Outcome.NO_CONNECTION));
+        Outcome forbidden = forbids(e);
+        if (forbidden != null) {
+            end(e, without(forbidden));
             return;
         }
         NodeConnection c = kept();
@@ -173,11 +190,11 @@
         long restedSince = now() - around.restNs;
         for (var i = idle.descendingIterator(); i.hasNext(); ) {
             NodeConnection c = i.next();
-            if (c.lost()) {
-                i.remove();
-            } else if (c.idleSince <= restedSince) {
+            if (c.lost() || c.idleSince <= restedSince) {
                 i.remove();
-                return c;
+                if (c.clean()) {
+                    return c;
+                }
             }
         }
         return null;
@@ -255,9 +272,17 @@
         }
     }
 
+    /** It came up and its errand may not begin: that goes elsewhere, and the connection to the next one. */
+    void refused(NodeConnection c, Errand e, Outcome forbidden) {
+        c.errand = null;
+        e.connection = null;
+        free(c, true);
+        end(e, without(forbidden));
+    }
+
     /** It carries nothing any more. */
     void free(NodeConnection c, boolean more) {
-        if (more && !gone && !held && c.generation == generation) {
+        if (more && takesNew() && c.generation == generation) {
             c.idleSince = now();
             idle.addLast(c);
             watchIdle();
--- a/proxy/src/main/java/spurroad/routing/NodeConnection.java
+++ b/proxy/src/main/java/spurroad/routing/NodeConnection.java
@@ -4,6 +4,7 @@
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import java.util.Arrays;
+import spurroad.model.Outcome;
 import spurroad.protocol.ByteSource;
 import spurroad.protocol.MetaReply;
 import spurroad.protocol.ProtocolException;
@@ -60,10 +61,12 @@
     @Override
     public void connected() {
         alarm.cancel();
-        if (errand != null && node.held()) {
-            cut(); // nothing has been written: it goes elsewhere
-        } else if (errand != null) {
-            write(errand);
+        Errand e = errand;
+        Outcome forbidden = e == null ? null : node.forbids(e);
+        if (forbidden != null) {
+            node.refused(this, e, forbidden);
+        } else if (e != null) {
+            write(e);
         }
     }
 
@@ -230,6 +233,17 @@
         return connection.closed();
     }
 
+    /**
+     * Whether nothing has come since its last answer, no end either: what the loop has not been told of is looked for.
+     * An idle connection may be closed at any time, or get a second answer, and what is written to it then is spoilt.
+     */
+    boolean clean() {
+        if (connection.unread()) {
+            close();
+        }
+        return !closed;
+    }
+
     /** Closes it where its errand, if it has one, is still to be ended by the break. */
     private void cut() {
         alarm.cancel();
