A client's end is seen within 0.1 s also while nothing is read from it

With 16 commands waiting, in the rest after a fault and without room for a long value nothing was read, so an end was not seen: it is looked for each 0.1 s, with 64 KiB kept unread at most. A client that comes again with the same id before its former end was read is served: the former is looked at. Found on the way: what follows an upload read on into the loop's buffer, whose rest was then fed again; the upload now takes all bytes first.

--- a/proxy/src/main/java/spurroad/routing/ClientConnection.java
+++ b/proxy/src/main/java/spurroad/routing/ClientConnection.java
@@ -30,6 +30,8 @@
     private static final long ROOM_NS = 20_000_000L; // ns; between looks for room for a long value
     private static final long CROWDED_NS = 300_000_000L; // ns; the same after an answer where many are connected
     private static final long FAULT_REST_NS = 100_000_000L; // ns; who sends nonsense again at once costs others nothing
+    private static final long LOOK_NS = 100_000_000L; // ns; between looks for its end while nothing is read
+    private static final int AHEAD_BYTES = 64 * 1024; // bytes; kept here unread at most, as of one reading
     private static final int PASSING_BYTES = 64 * 1024; // bytes; of a long value that wait for the client, at most
     private static final int SYSTEM_BYTES = 128 * 1024; // bytes; of a long value; the system takes twice that
     private static final long TAKING_NS = 30_000_000_000L; // ns; for those to be taken, at 10 KB a second
@@ -56,7 +58,7 @@
     private Slot writing; // answered, and not yet taken whole by the system
     private long takingUntil; // while a long answer may still stand in the system's buffers here
     private long idleSince, cameAt, begunAt = Long.MAX_VALUE, writingSince = Long.MAX_VALUE;
-    private boolean answered, resting, lost, again, over;
+    private boolean answered, resting, lost, again, looking, ahead, over;
     private Upload upload; // the long value that is coming in
     private long uploadRoom, seen; // what it holds; bytes that the client had taken at the last look
     private boolean noRoom;
@@ -94,11 +96,12 @@
         }
         cameAt = clients.now();
         if (upload != null) {
-            upload(bytes);
-        }
-        if (bytes.hasRemaining() && !lost && !over) {
+            upload(bytes); // all of them: what follows may read on, into the same buffer
+        } else if (!over) {
             in.feed(bytes);
-            work();
+            if (!ahead) {
+                work();
+            }
         }
     }
 
@@ -128,16 +131,57 @@
         if (!over) {
             boolean reads = !resting && !again && waiting() < MOST_WAITING && !noRoom;
             begunAt = reads && !lost && in.available() > 0 ? Math.min(begunAt, clients.now()) : Long.MAX_VALUE;
-            connection.reading(reads || lost);
+            reading(reads || lost);
         }
     }
 
+    /**
+     * Reads on, or lets what comes wait with the client. Then its end would not be seen, and its queries would go on to
+     * nodes: it is looked for now and then, as far as what comes before it fits here.
+     */
+    private void reading(boolean on) {
+        connection.reading(on);
+        if (!on && !looking) {
+            looking = true;
+            clients.loop.after(LOOK_NS, this::look);
+        }
+    }
+
+    private void look() {
+        looking = false;
+        if (!over && !connection.isReading() && goesOn()) {
+            reading(connection.isReading());
+        }
+    }
+
+    /** Looks whether its client has ended it, behind all that came before that and is kept for later. */
+    private boolean goesOn() {
+        boolean reads = connection.isReading();
+        if (!over && (upload == null || noRoom)) {
+            ahead = true;
+            while (in.available() < AHEAD_BYTES && connection.unread(AHEAD_BYTES - in.available()) && !gone()) {
+                continue;
+            }
+            ahead = false;
+            if (gone()) {
+                close();
+            } else if (reads && in.available() > 0) {
+                workAgain();
+            }
+        }
+        return !over;
+    }
+
+    private boolean gone() {
+        return over || connection.closed();
+    }
+
     /** Its value is read once there is room for all of it; until then it waits with the client. */
     private void begin(Upload next) {
         upload = next;
         noRoom = !clients.uploads.take(next.command.length());
         if (noRoom) {
-            connection.reading(false);
+            reading(false);
             clients.loop.after(ROOM_NS, () -> {
                 if (!over) {
                     begin(next);
@@ -146,7 +190,7 @@
             return;
         }
         uploadRoom = next.command.length();
-        connection.reading(true);
+        reading(true);
         cameAt = clients.now(); // it was not read from
         if (in.available() > 0) {
             upload(ByteBuffer.wrap(in.take(in.available())));
@@ -169,8 +213,12 @@
             if (bytes.hasRemaining()) {
                 in.feed(bytes);
             }
-            taken(whole, room);
-            work();
+            if (goesOn()) { // it may have sent all of it and gone long ago, while there was no room
+                taken(whole, room);
+                work();
+            } else {
+                clients.uploads.give(room);
+            }
         } catch (ProtocolException e) {
             giveUploadRoom();
             upload = null;
@@ -248,7 +296,8 @@
         if (refusal != null) {
             return fault(slot, refusal, false);
         }
-        if (!guest && clients.open.containsKey(command.id())) {
+        Query same = guest ? null : clients.open.get(command.id());
+        if (same != null && (same.client == this || same.client.goesOn())) {
             return unusable("CLIENT_ERROR request id in use");
         }
         slot.results = clients.results(track);
--- a/proxy/src/main/java/spurroad/transport/Connection.java
+++ b/proxy/src/main/java/spurroad/transport/Connection.java
@@ -101,7 +101,7 @@
             user.drained();
         }
         if (!closed && (operations & SelectionKey.OP_READ) != 0) {
-            read();
+            read(loop.in.capacity());
         }
     }
 
@@ -111,9 +111,9 @@
     }
 
     /** Whether anything came, which its user has been told then. */
-    private boolean read() {
+    private boolean read(int most) {
         try {
-            loop.in.clear();
+            loop.in.clear().limit(Math.min(most, loop.in.capacity()));
             int n = source.read(loop.in);
             if (n > 0) {
                 user.came(loop.in.flip());
@@ -129,7 +129,12 @@
 
     /** Looks whether something came, and tells its user of that first; also true where it broke. */
     public boolean unread() {
-        return closed || read() || closed;
+        return unread(loop.in.capacity());
+    }
+
+    /** The same, with no more told of than so many bytes. */
+    public boolean unread(int most) {
+        return closed || read(most) || closed;
     }
 
     /** Reads on, or lets what comes wait with the peer. */
@@ -143,6 +148,11 @@
         }
     }
 
+    /** Whether what comes is read. */
+    public boolean isReading() {
+        return !closed && reads.isValid() && (reads.interestOps() & SelectionKey.OP_READ) != 0;
+    }
+
     /** Sends it after all that was written before. Where it breaks, the user is told soon. */
     public void write(byte[] message) {
         if (!closed && message.length > 0) {
