Narrow moments on real connections: news between a decision and its first byte, ends, silences

Each order is forced: in one turn of the loop, by a gate in a peer, by a loop held up while bytes come. Eight pieces of news at a connection that comes up late and at a place that comes free; what stands unread on an idle connection; the end before the kill; a silent and a trickling watch; pushed lists; a client's end while it is not read from; 200 clients that leave while their queries wait, with and without cancels: none sent on.

--- a/proxy/src/main/java/spurroad/program/Main.java
+++ b/proxy/src/main/java/spurroad/program/Main.java
@@ -47,8 +47,12 @@
         }
         // from the first moment: the default is to end, and under load this thread may be late to say otherwise
         CompletableFuture<Service> up = new CompletableFuture<>();
-        Life life = new Life();
-        Runtime.getRuntime().addShutdownHook(new Thread(life::end));
+        Life<Service> life = new Life<>(Service::end);
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> {
+            if (life.end()) {
+                Runtime.getRuntime().halt(0);
+            }
+        }));
         Signal.handle(new Signal("HUP"),
             hup -> up.thenAccept(s -> s.reload(() -> ProxyStart.ofEnvironment(System.getenv()))));
         try {
@@ -95,41 +99,6 @@
         }
     }
 
-    /**
-     * The service's beginning and end, of which SIGTERM may come before, between or after: what was accepted is answered,
-     * and nothing is accepted once it has come.
-     */
-    private static final class Life {
-        /** Starts a service. */
-        interface Start {
-            Service begin() throws IOException, InterruptedException;
-        }
-
-        private Service service;
-        private boolean ended;
-
-        synchronized Service begin(Start start) throws IOException, InterruptedException {
-            while (ended) {
-                wait(); // for the end of the process
-            }
-            service = start.begin();
-            return service;
-        }
-
-        /** Ends the process where it serves; else there is nothing to wait for. */
-        synchronized void end() {
-            ended = true;
-            try {
-                if (service != null) {
-                    service.end();
-                    Runtime.getRuntime().halt(0);
-                }
-            } catch (InterruptedException e) {
-                Thread.currentThread().interrupt();
-            }
-        }
-    }
-
     private static void wirehost() throws IOException {
         try {
             DataInputStream in = new DataInputStream(new BufferedInputStream(System.in, 1 << 16));
--- a/proxy/src/test/java/spurroad/Peers.java
+++ b/proxy/src/test/java/spurroad/Peers.java
@@ -104,6 +104,11 @@
             last.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
         }
 
+        /** Ends the connection opened last; what the other side reads next is that. */
+        public void hangUp() throws IOException {
+            last.close();
+        }
+
         /** The next thing heard that begins so. */
         public String await(String start) throws InterruptedException {
             String next = heard.poll(PATIENCE_MS, TimeUnit.MILLISECONDS);
--- /dev/null
+++ b/proxy/src/test/java/spurroad/program/NarrowMomentsTest.java
@@ -0,0 +1,328 @@
+package spurroad.program;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertNotNull;
+import static org.testng.Assert.assertTrue;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.ConcurrentSkipListSet;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Function;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+import spurroad.Peers;
+import spurroad.Peers.Client;
+import spurroad.Peers.Peer;
+import spurroad.protocol.ByteSource;
+import spurroad.start.ProxyStart;
+
+/** Orders of events that are rare in service, each made to happen: the whole proxy between scripted peers. */
+public class NarrowMomentsTest {
+    private static final long MS = 1_000_000L;
+    /** Behind a query whose answer waits: so many that their client is not read from any more. */
+    private static final String BEHIND = "mn\r\n".repeat(15);
+
+    private static String read(String id) {
+        return ServiceTest.READ.replace("O1", "O" + id);
+    }
+
+    private static String chunk(String line) {
+        return Integer.toHexString(line.length() + 1) + "\r\n" + line + "\n\r\n";
+    }
+
+    private static Service proxy(String text) throws Exception {
+        return ServiceTest.service(new ProxyStart(text));
+    }
+
+    private static String start(Peer discovery, Peer... nodes) {
+        String[] targets = new String[nodes.length];
+        for (int i = 0; i < nodes.length; i++) {
+            targets[i] = Peers.target("s-" + i, "m1", nodes[i].port, "active", 0);
+        }
+        return Peers.start(discovery.port, 1024, Peers.list(1, true, targets));
+    }
+
+    private static long msSince(long then) {
+        return (System.nanoTime() - then) / MS;
+    }
+
+    // ---- the end of a process
+
+    /**
+     * A restart with hung nodes: whoever kills waits 3 s for the longest query, and 0.7 s; queries that could wait longer
+     * were answered after that (roll+term+brink, a broken rule on five of ten seeds).
+     */
+    @Test
+    public void allThatWasTakenIsAnsweredBeforeTheKillHoweverLongItCouldWait() throws Exception {
+        try (Peer hung = new Peer(m -> null); Peer discovery = new Peer(m -> ServiceTest.WATCH)) {
+            Service s = proxy(start(discovery, hung).replace("\"sloTimeUs\":8000000", "\"statementTimeoutUs\":9000000,"
+                + "\"sloTimeUs\":8000000"));
+            try (Client before = new Client(s.port()); Client after = new Client(s.port())) {
+                before.say(read("1"));
+                assertNotNull(hung.await("mg"));
+                long since = System.nanoTime();
+                Thread end = ServiceTest.ending(s);
+                after.say(read("2"));
+                assertTrue(before.line().startsWith("SERVER_ERROR"));
+                assertTrue(after.line().startsWith("SERVER_ERROR"));
+                assertTrue(msSince(since) < 3700, "answered after " + msSince(since) + " ms");
+                end.join();
+            }
+        }
+    }
+
+    /** What the system has accepted for a proxy that ends before it serves is answered too. */
+    @Test
+    public void whoCameBeforeItServedIsAnsweredAtItsEnd() throws Exception {
+        CountDownLatch never = new CountDownLatch(1);
+        try (Peer silent = new Peer(m -> held(never, ServiceTest.WATCH)); Peer node = new Peer(ServiceTest.hit("v"))) {
+            Service s = proxy(start(silent, node).replace("on_request", "pushed"));
+            try (Client c = new Client(s.port())) {
+                c.say(read("1"));
+                Thread end = ServiceTest.ending(s);
+                assertEquals(c.line() + c.line(), "VA 1 O1v");
+                end.join();
+            }
+            never.countDown();
+        }
+    }
+
+    private static String held(CountDownLatch until, String answer) {
+        try {
+            until.await();
+        } catch (InterruptedException e) {
+            throw new IllegalStateException(e);
+        }
+        return answer;
+    }
+
+    // ---- a list that goes quiet
+
+    /** How a watch goes quiet: without a byte, or with bytes that never make a line. */
+    @DataProvider
+    Object[][] quiet() {
+        return new Object[][] {{false}, {true}};
+    }
+
+    /** 7 s passed for a silence; what it missed counts after 6 s (calm+brink, the rule on drains). */
+    @Test(dataProvider = "quiet")
+    public void aWatchThatFallsSilentIsAskedAnewInTimeAndKeptUntilTheNewOneSpeaks(boolean trickles) throws Exception {
+        AtomicInteger calls = new AtomicInteger();
+        CountDownLatch go = new CountDownLatch(1);
+        try (Peer a = new Peer(ServiceTest.hit("a")); Peer b = new Peer(ServiceTest.hit("b"))) {
+            String both = Peers.list(2, true, Peers.target("s-a", "m1", a.port, "active", 0));
+            String drained = Peers.list(3, true, Peers.target("s-a", "m1", a.port, "leaving", 0),
+                Peers.target("s-b", "m1", b.port, "active", 0));
+            try (Peer discovery = new Peer(m -> ServiceTest.WATCH
+                    + (calls.incrementAndGet() == 1 ? chunk(both) : held(go, chunk(drained))))) {
+                Service s = proxy(start(discovery, a));
+                assertNotNull(discovery.await("GET"));
+                long since = System.nanoTime();
+                if (trickles) {
+                    discovery.say("100\r\n");
+                    Peers.daemon(() -> {
+                        while (true) {
+                            discovery.say(" ");
+                            Thread.sleep(200);
+                        }
+                    });
+                }
+                String again = discovery.await("GET");
+                assertTrue(again.contains("since=2 "), again);
+                assertTrue(msSince(since) < 5000, "asked anew after " + msSince(since) + " ms");
+                assertTrue(discovery.heard.isEmpty(), "the silent one is kept until the new one has spoken");
+                go.countDown();
+                assertEquals(discovery.await("closed"), "closed");
+                try (Client c = new Client(s.port())) {
+                    String line = c.say(read("1")).line() + c.line();
+                    for (int i = 0; i < 2000 && line.endsWith("a"); i++) {
+                        line = c.say(read("1")).line() + c.line(); // the list is on its way to the module
+                    }
+                    assertEquals(line, "VA 1 O1b");
+                }
+            }
+        }
+    }
+
+    /** A proxy whose lists are pushed never opened a watch: it sent to nodes that drained for as long as it lived. */
+    @Test
+    public void whereListsArePushedNothingIsSentBeforeTheFirstIsHeard() throws Exception {
+        CountDownLatch go = new CountDownLatch(1);
+        try (Peer a = new Peer(ServiceTest.hit("a")); Peer b = new Peer(ServiceTest.hit("b"))) {
+            String drained = Peers.list(3, true, Peers.target("s-0", "m1", a.port, "leaving", 0),
+                Peers.target("s-b", "m1", b.port, "active", 0));
+            try (Peer agent = new Peer(m -> ServiceTest.WATCH + held(go, chunk(drained)))) {
+                Service s = proxy(start(agent, a).replace("on_request", "pushed"));
+                try (Client c = new Client(s.port())) {
+                    c.say("mn\r\n" + read("1"));
+                    assertNotNull(agent.await("GET"));
+                    go.countDown();
+                    assertEquals(c.line() + c.line() + c.line(), "MNVA 1 O1b");
+                }
+                assertTrue(a.heard.isEmpty());
+            }
+        }
+    }
+
+    /** Its agent may be away for a while: what it has then counts at its return. */
+    @Test
+    public void whereListsArePushedABrokenWatchIsOpenedAnewAtOnce() throws Exception {
+        AtomicInteger calls = new AtomicInteger();
+        try (Peer node = new Peer(ServiceTest.hit("a"));
+             Peer agent = new Peer(m -> calls.incrementAndGet() < 12 ? "" : ServiceTest.WATCH)) {
+            long since = System.nanoTime();
+            proxy(start(agent, node).replace("on_request", "pushed"));
+            for (int i = 0; i < 12; i++) {
+                assertNotNull(agent.await("GET"));
+            }
+            assertTrue(msSince(since) < 5000, "twelve calls took " + msSince(since) + " ms");
+        }
+    }
+
+    // ---- a client that leaves
+
+    /** A client with sixteen commands waiting is not read from; its end came to light with the first answer. */
+    @Test
+    public void theEndOfAClientThatIsNotReadFromIsSeen() throws Exception {
+        try (Peer silent = new Peer(m -> null); Peer discovery = new Peer(m -> ServiceTest.WATCH)) {
+            Service s = proxy(start(discovery, silent));
+            Client c = new Client(s.port()).say(read("1") + BEHIND + read("2"));
+            assertNotNull(silent.await("mg"));
+            long since = System.nanoTime();
+            c.close();
+            assertEquals(silent.await("closed"), "closed", "called off");
+            assertTrue(msSince(since) < 2000, "seen after " + msSince(since) + " ms");
+            assertTrue(silent.heard.stream().noneMatch(m -> m.startsWith("mg")), "those behind them were not sent on");
+        }
+    }
+
+    /** Neither is one that waits for room for a long value. */
+    @Test
+    public void theEndOfAClientThatWaitsForRoomIsSeen() throws Exception {
+        try (Peer silent = new Peer(m -> null); Peer discovery = new Peer(m -> ServiceTest.WATCH)) {
+            Service s = proxy(start(discovery, silent));
+            String upload = "ms k 4000000 O3 Pc=put,t=acme,d=9000,k=5\r\n";
+            List<Client> holders = new ArrayList<>();
+            for (int i = 0; i < 8; i++) { // more than there is room for
+                holders.add(new Client(s.port()).say(upload.replace("O3", "Oh" + i) + "x"));
+            }
+            Client c = new Client(s.port());
+            c.say(read("1") + upload + "x");
+            assertNotNull(silent.await("mg"));
+            long since = System.nanoTime();
+            c.close();
+            assertEquals(silent.await("closed"), "closed", "called off");
+            assertTrue(msSince(since) < 1500, "seen after " + msSince(since) + " ms");
+            for (Client h : holders) {
+                h.close();
+            }
+        }
+    }
+
+    /** Who came again at once was told that its id is in use, where its former end had not been read yet. */
+    @Test
+    public void aClientThatComesAgainBeforeItsFormerEndIsReadIsServed() throws Exception {
+        CountDownLatch again = new CountDownLatch(1);
+        Function<String, String> rule = m -> again.getCount() > 0 ? null : ServiceTest.hit("v").apply(m);
+        try (Peer node = new Peer(rule); Peer discovery = new Peer(m -> ServiceTest.WATCH)) {
+            Service s = proxy(start(discovery, node));
+            Client former = new Client(s.port()).say(read("1") + BEHIND);
+            assertNotNull(node.await("mg"));
+            again.countDown();
+            former.close();
+            try (Client c = new Client(s.port())) {
+                assertEquals(c.say(read("1")).line() + c.line(), "VA 1 O1v");
+            }
+        }
+    }
+
+    /** A node that takes no connections for a while, and what it hears once it does. */
+    private static final class Late implements AutoCloseable {
+        private final ServerSocket server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
+        private final List<Socket> fill = new ArrayList<>();
+        private final Set<String> heard = new ConcurrentSkipListSet<>();
+        private final AtomicInteger came = new AtomicInteger();
+
+        /** Its queue is filled, so that the system answers no connect. */
+        private Late() throws IOException {
+            for (int i = 0; i < 2; i++) {
+                fill.add(new Socket(server.getInetAddress(), server.getLocalPort()));
+            }
+        }
+
+        private void accept() {
+            Peers.daemon(() -> {
+                while (true) {
+                    Socket s = server.accept();
+                    came.incrementAndGet();
+                    Peers.daemon(() -> {
+                        ByteSource in = new ByteSource(s.getInputStream());
+                        for (String line = in.line(9000); line != null; line = in.line(9000)) {
+                            heard.add(line);
+                            s.getOutputStream().write(ServiceTest.hit("v").apply(line).getBytes());
+                        }
+                    });
+                }
+            });
+        }
+
+        @Override
+        public void close() throws IOException {
+            server.close();
+            for (Socket s : fill) {
+                s.close();
+            }
+        }
+    }
+
+    @DataProvider
+    Object[][] cancels() {
+        return new Object[][] {{true}, {false}};
+    }
+
+    /**
+     * Over a quarter of such queries sent on 0.3 s later fail a day. Where a deployment has no cancels, what waited for a
+     * connection went out for clients long gone.
+     */
+    @Test(dataProvider = "cancels")
+    public void nothingIsSentOnForClientsThatLeftWhileTheirQueriesWaited(boolean cancels) throws Exception {
+        List<Late> nodes = new ArrayList<>();
+        List<String> targets = new ArrayList<>();
+        for (int i = 0; i < 20; i++) {
+            nodes.add(new Late());
+            targets.add(Peers.target("s-" + i, "m1", nodes.get(i).server.getLocalPort(), "active", 0));
+        }
+        try (Peer discovery = new Peer(m -> ServiceTest.WATCH)) {
+            Service s = proxy(Peers.start(discovery.port, 1024, Peers.list(1, true, targets.toArray(String[]::new)))
+                .replace("\"connectTimeoutUs\":250000", "\"connectTimeoutUs\":5000000")
+                .replace("\"cancel\":true", "\"cancel\":" + cancels));
+            List<Client> clients = new ArrayList<>();
+            for (int i = 0; i < 200; i++) {
+                clients.add(new Client(s.port()).say("mn\r\n" + read("gone" + i).replace("mg k", "mg k" + i)));
+                assertEquals(clients.get(i).line(), "MN"); // the query behind it was read with it, or soon is
+            }
+            for (Client c : clients) {
+                c.close();
+            }
+            assertEquals(new Client(s.port()).say("mn\r\n").line(), "MN", "the ends have been read by now");
+            long since = System.nanoTime();
+            nodes.forEach(Late::accept);
+            // what was begun comes up within 3 s, as the system asks again, or is given up
+            while (msSince(since) < 5500 && nodes.stream().noneMatch(n -> n.heard.stream().anyMatch(m -> m.contains("O")))) {
+                Thread.sleep(10);
+            }
+            assertTrue(nodes.stream().mapToInt(n -> n.came.get()).sum() > 2 * nodes.size() || cancels, "none came up");
+            assertEquals(nodes.stream().flatMap(n -> n.heard.stream()).filter(m -> m.contains("Ogone")).toList(), List.of());
+        }
+        for (Late n : nodes) {
+            n.close();
+        }
+    }
+}
--- a/proxy/src/test/java/spurroad/protocol/ParsersTest.java
+++ b/proxy/src/test/java/spurroad/protocol/ParsersTest.java
@@ -235,6 +235,16 @@
         assertThrows(IOException.class, () -> Http.listText(cutLines));
     }
 
+    @Test
+    public void aListMayComeIndentedOverSeveralLines() throws IOException {
+        ByteSource lines = source("\n{\n  \"a}\": {\"b\": \"\\\"{\"\n  }\n}\n\n{}\n{\n");
+        assertEquals(Http.listText(lines), "");
+        assertEquals(Json.read(Http.listText(lines)), Map.of("a}", Map.of("b", "\"{")));
+        assertEquals(Http.listText(lines), "");
+        assertEquals(Http.listText(lines), "{}");
+        assertThrows(IOException.class, () -> Http.listText(lines));
+    }
+
     @DataProvider
     Object[][] json() {
         return new Object[][] {{"{}", Map.of()}, {" [1, -2.5e1 ,\"a\\u0041\\n\\\"\"] ", List.of(1.0, -25.0, "aA\n\"")},
--- a/proxy/src/test/java/spurroad/routing/NodeActorTest.java
+++ b/proxy/src/test/java/spurroad/routing/NodeActorTest.java
@@ -66,18 +66,26 @@
     }
 
     private static Member member(int port, long started) {
+        return member(port, started, Phase.READY);
+    }
+
+    private static Member member(int port, long started, Phase phase) {
         return new Member(new NodeEntry(new NodeId(1), new KindId(0), new ZoneId(0), new CellId(0), started, 1,
-            Phase.READY), new InetSocketAddress(InetAddress.getLoopbackAddress(), port));
+            phase), new InetSocketAddress(InetAddress.getLoopbackAddress(), port));
     }
 
     private Errand begin(NodeActor node, long allowNs) throws IOException {
-        MetaCommand command = MetaCommand.read(new ByteSource(new ByteArrayInputStream(
-            "mg k v O1 Pc=read,d=480\r\n".getBytes())));
-        Errand e = new Errand(new Query(null, command, new TrackId(0), null, null, 0, 0), 0, node, clock.now() + allowNs, 0);
+        Errand e = errand(node, allowNs);
         loop.tell(() -> node.begin(e));
         return e;
     }
 
+    private Errand errand(NodeActor node, long allowNs) throws IOException {
+        MetaCommand command = MetaCommand.read(new ByteSource(new ByteArrayInputStream(
+            "mg k v O1 Pc=read,d=480\r\n".getBytes())));
+        return new Errand(new Query(null, command, new TrackId(0), null, null, 0, 0), 0, node, clock.now() + allowNs, 0);
+    }
+
     private Outcome outcome() throws InterruptedException {
         Reply reply = ended.poll(20, TimeUnit.SECONDS);
         assertNotNull(reply, "an errand that never ended");
@@ -219,4 +227,118 @@
             assertEquals(moved.await("closed"), "closed");
         }
     }
+
+    // ---- narrow moments: news between a decision and its first byte
+
+    /** What may come between the two; the node's peer is to hear nothing of the errand then. */
+    private enum News {
+        DRAINS(Outcome.NO_CONNECTION), GONE(Outcome.NO_CONNECTION), OUT_BY_HAND(Outcome.NO_CONNECTION),
+        STARTED_ANEW(Outcome.NO_CONNECTION), MOVED(Outcome.NO_CONNECTION), CLIENT_LEFT(Outcome.NEVER_SENT),
+        CALLED_OFF(Outcome.NO_CONNECTION), LEFT_AND_CALLED_OFF(Outcome.NEVER_SENT);
+
+        private final Outcome end;
+
+        News(Outcome end) {
+            this.end = end;
+        }
+
+        private void reach(NodeActor node, Errand e, Peers.Peer peer, Peers.Peer other) {
+            e.query.left = this == CLIENT_LEFT || this == LEFT_AND_CALLED_OFF;
+            switch (this) {
+                case DRAINS -> node.listed(member(peer.port, 0, Phase.DRAINING), false);
+                case GONE -> node.gone();
+                case OUT_BY_HAND -> node.held(true);
+                case STARTED_ANEW -> node.listed(member(peer.port, 5), false);
+                case MOVED -> node.listed(member(other.port, 0), false);
+                case CALLED_OFF, LEFT_AND_CALLED_OFF -> node.stop(e);
+                default -> { }
+            }
+        }
+    }
+
+    @DataProvider
+    Object[][] news() {
+        Object[][] all = new Object[News.values().length][];
+        for (News n : News.values()) {
+            all[n.ordinal()] = new Object[] {n};
+        }
+        return all;
+    }
+
+    /** The connect has begun in the same turn of the loop, so it comes up after the news each time. */
+    @Test(dataProvider = "news")
+    public void nothingBeginsOnAConnectionThatComesUpAfterTheNews(News news) throws Exception {
+        try (Peers.Peer peer = new Peers.Peer(message -> null); Peers.Peer other = new Peers.Peer(message -> null)) {
+            NodeActor node = node(peer.port, false, new Descriptors(100));
+            Errand e = errand(node, SHORT_NS);
+            loop.tell(() -> {
+                node.begin(e);
+                news.reach(node, e, peer, other);
+            });
+            assertEquals(outcome(), news.end);
+            heardNothing(peer, other);
+        }
+    }
+
+    /** The place comes free in the same turn as the news. */
+    @Test(dataProvider = "news")
+    public void nothingBeginsAtAPlaceThatComesFreeAfterTheNews(News news) throws Exception {
+        try (Peers.Peer holds = new Peers.Peer(message -> null); Peers.Peer peer = new Peers.Peer(message -> null);
+             Peers.Peer other = new Peers.Peer(message -> null)) {
+            Descriptors descriptors = new Descriptors(2 + 8 + 2);
+            NodeActor holder = node(holds.port, false, descriptors), node = node(peer.port, false, descriptors);
+            Errand first = begin(holder, LONG_NS), e = errand(node, LONG_NS);
+            assertNotNull(holds.await("mg"));
+            loop.tell(() -> {
+                node.begin(e);
+                news.reach(node, e, peer, other);
+                holder.stop(first);
+            });
+            List<Outcome> ends = new java.util.ArrayList<>(List.of(outcome(), outcome()));
+            assertTrue(ends.remove(Outcome.CANCELLED), "the one that held the place");
+            assertEquals(ends, List.of(news.end));
+            heardNothing(peer, other);
+        }
+    }
+
+    private static void heardNothing(Peers.Peer... peers) {
+        for (Peers.Peer p : peers) {
+            assertTrue(p.heard.stream().noneMatch(m -> m.startsWith("mg")), "nothing was sent on");
+        }
+    }
+
+    @DataProvider
+    Object[][] whatComesToAnIdleConnection() {
+        String again = "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nb";
+        return new Object[][] {{false, null}, {true, null}, {false, "VA 1 O1\r\nb\r\n"}, {true, again}, {true, "x"}};
+    }
+
+    /** The loop is held up while it comes, so it can't have been told of it when the next query is written. */
+    @Test(dataProvider = "whatComesToAnIdleConnection")
+    public void whatStandsUnreadOnAnIdleConnectionIsSeenBeforeAQueryIsRiskedOnIt(boolean origin, String comes)
+        throws Exception {
+        String answer = origin ? "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na" : "VA 1 O1\r\na\r\n";
+        try (Peers.Peer peer = new Peers.Peer(message -> answer)) {
+            NodeActor node = node(peer.port, origin, new Descriptors(100));
+            begin(node, LONG_NS);
+            assertEquals(outcome(), Outcome.COMPLETED);
+            Errand next = errand(node, LONG_NS);
+            loop.tell(() -> {
+                try {
+                    if (comes == null) {
+                        peer.hangUp();
+                    } else {
+                        peer.say(comes);
+                    }
+                } catch (IOException | InterruptedException e) {
+                    throw new IllegalStateException(e);
+                }
+                node.begin(next);
+            });
+            Reply reply = ended.poll(20, TimeUnit.SECONDS);
+            assertEquals(reply.outcome(), Outcome.COMPLETED);
+            assertEquals(new String(reply.answer()), "VA 1 O1\r\na\r\n", "its own answer");
+            assertEquals(peer.connections.get(), 2);
+        }
+    }
 }
