--- a/proxy/src/main/java/spurroad/routing/ListWatch.java
+++ b/proxy/src/main/java/spurroad/routing/ListWatch.java
@@ -27,6 +27,7 @@
     private static final long SPREAD_NS = 800_000_000L; // ns; of that: the watches of all proxies fall silent at once
     private static final long CALL_NS = 4_000_000_000L; // ns; until the first line: discovery answers calls in turn
     private static final long PUSHED_NS = 100_000_000L; // ns; between calls where lists are pushed
+    private static final double ASK_SHARE = 0.4; // of the time that the settings give for asking: the call takes some
     private static final int CONNECT_MS = 2_000; // ms; one beat
     private static final int THREAD_MS = 10_000; // ms; longer than any alarm: no thread outlives a socket for long
     private static final int OK = 200;
@@ -38,12 +39,14 @@
     private final EventLog log;
     private final Decider decider;
     private final boolean pushed;
+    private final long longestPauseNs;
     private final Random random;
     // the loop's
     private InetSocketAddress discovery;
     private long revision;
     private Watch current, former;
     private Runnable firstList = NOTHING;
+    private Loop.Alarm again = () -> { }; // the next call at the latest
 
     public ListWatch(ProxyStart start, Threads threads, Loop loop, EventLog log, Decider decider) {
         this.threads = threads;
@@ -54,6 +57,7 @@
         names = start.figures.names;
         revision = start.known.revision();
         pushed = !start.figures.deployment.mustAsk();
+        longestPauseNs = pushed ? PUSHED_NS : (long) (ASK_SHARE * start.figures.askWithinNs);
         random = new Random(start.seed);
     }
 
@@ -96,6 +100,7 @@
     }
 
     private void call() {
+        again.cancel();
         current = new Watch(discovery, revision);
         current.listen(CALL_NS);
         threads.start("list", current);
@@ -151,9 +156,10 @@
         } else if (watch == current) {
             current = null;
             log.trouble("the list can't be followed for now", why);
-            if (pushed) {
-                loop.after(PUSHED_NS / 2 + (long) (random.nextDouble() * PUSHED_NS), this::follow);
-            } else {
+            // the module's pauses grow to 12 s; that discovery is back counts anew, and in less time than that elsewhere
+            again.cancel();
+            again = loop.after((long) ((0.5 + random.nextDouble()) * longestPauseNs), this::follow);
+            if (!pushed) {
                 decider.listFailed();
             }
         }
--- a/proxy/src/main/java/spurroad/start/StartFigures.java
+++ b/proxy/src/main/java/spurroad/start/StartFigures.java
@@ -21,6 +21,7 @@
 public final class StartFigures {
     private static final long NS_PER_US = 1_000L;
     private static final long CONNECT_NS = 1_000_000_000L; // ns; where no limit is told: a lost packet sent again
+    private static final long ASK_WITHIN_NS = 20_000_000_000L; // ns; where it is not told: beyond any pause
     private static final double DEAR_CROSSING = 0.05; // of a query's worth: from here a copy in each place is cheaper
     private static final int MOST_OPEN = 20_000; // queries; where no limit is told
     public final Deployment deployment;
@@ -31,6 +32,8 @@
     public final int mostOpen;
     /** How long a client waits at most for the final answer, over all its tries; zero where that is not told. */
     public final long statementTimeoutNs;
+    /** For how long a list may be held to without a call to discovery; nanoseconds. */
+    public final long askWithinNs;
     public final List<String> tracks;
     public final List<String> customers;
 
@@ -51,6 +54,8 @@
         reportColumns = figures.list("report.columns");
         connectNs = figures.time("allowed.connectTimeoutUs", CONNECT_NS / NS_PER_US);
         mostOpen = Math.max(1, (int) figures.number("allowed.maxOpen", MOST_OPEN));
+        long told = figures.time("obligations.askWithinUs", 0);
+        askWithinNs = told > 0 ? told : ASK_WITHIN_NS; // where lists are pushed nobody needs to ask
         tracks = figures.each("tracks", "name");
         customers = figures.each("projects", "name");
         deployment = deployment(figures);
--- a/proxy/src/test/java/spurroad/program/NarrowMomentsTest.java
+++ b/proxy/src/test/java/spurroad/program/NarrowMomentsTest.java
@@ -171,6 +171,19 @@
         }
     }
 
+    /** The module's pauses grow to 12 s, past the 10 s for which a list may be held to on jaffna-student-housing. */
+    @Test
+    public void discoveryIsAskedWithinTheTimeThatTheSettingsGive() throws Exception {
+        try (Peer node = new Peer(ServiceTest.hit("a")); Peer discovery = new Peer(m -> "")) {
+            long since = System.nanoTime();
+            proxy(start(discovery, node).replace("\"tickUs\"", "\"obligations\":{\"askWithinUs\":500000},\"tickUs\""));
+            for (int i = 0; i < 20; i++) {
+                assertNotNull(discovery.await("GET"));
+            }
+            assertTrue(msSince(since) < 9000, "twenty calls took " + msSince(since) + " ms");
+        }
+    }
+
     /** Its agent may be away for a while: what it has then counts at its return. */
     @Test
     public void whereListsArePushedABrokenWatchIsOpenedAnewAtOnce() throws Exception {
