--- a/proxy/src/main/java/spurroad/program/Main.java
+++ b/proxy/src/main/java/spurroad/program/Main.java
@@ -45,14 +45,14 @@
         for (Handler handler : Logger.getLogger("").getHandlers()) {
             handler.setFormatter(lines);
         }
-        // from the first moment: the default is to end, and under load this thread may be late to say otherwise
-        CompletableFuture<Service> up = new CompletableFuture<>();
+        // both from the first moment: the default is to end, and under load this thread may be late to say otherwise
         Life<Service> life = new Life<>(Service::end);
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
             if (life.end()) {
                 Runtime.getRuntime().halt(0);
             }
         }));
+        CompletableFuture<Service> up = new CompletableFuture<>();
         Signal.handle(new Signal("HUP"),
             hup -> up.thenAccept(s -> s.reload(() -> ProxyStart.ofEnvironment(System.getenv()))));
         try {
--- a/proxy/src/main/java/spurroad/routing/Decider.java
+++ b/proxy/src/main/java/spurroad/routing/Decider.java
@@ -244,26 +244,28 @@
         q.left = true; // at once: what has been decided meanwhile, or waits for a connection, is not begun
         fromLoop.add(() -> {
             if (!q.over) {
-                q.over = true;
                 tally.left();
-                balance.left(clock.now(), q.id, fresh());
-                carryOut();
-                forget(q);
+                leaves(q);
             }
         });
     }
 
+    /** The module owes it no answer any more. */
+    private void leaves(Query q) {
+        q.over = true;
+        balance.left(clock.now(), q.id, fresh());
+        carryOut();
+        forget(q);
+    }
+
     /** Answers what has no answer yet, as aborted: this process is about to be killed. On the loop. */
     void answerAll() {
         fromLoop.add(() -> {
             for (Query q : List.copyOf(queries.values())) {
                 if (!q.over) {
-                    q.over = true;
                     tally.answered(false);
                     forLoop.add(new Answered(q, MetaReply.aborted(), Results.End.ABORTED, null));
-                    balance.left(clock.now(), q.id, fresh());
-                    carryOut();
-                    forget(q);
+                    leaves(q);
                 }
             }
         });
--- a/proxy/src/main/java/spurroad/routing/Errand.java
+++ b/proxy/src/main/java/spurroad/routing/Errand.java
@@ -31,6 +31,11 @@
         this.stalledNs = stalledNs;
     }
 
+    /** Whether the client that it is for has gone; never so for a probe. */
+    boolean clientLeft() {
+        return query != null && query.left;
+    }
+
     MetaCommand command() {
         return query == null ? null : query.command;
     }
--- a/proxy/src/main/java/spurroad/routing/NodeActor.java
+++ b/proxy/src/main/java/spurroad/routing/NodeActor.java
@@ -108,7 +108,7 @@
      * else: the news that forbids it may have come between the decision and a place or a connection.
      */
     Outcome forbids(Errand e) {
-        if (e.query != null && e.query.left) {
+        if (e.clientLeft()) {
             return Outcome.NEVER_SENT; // its client has gone, and the node is not to blame
         }
         // a probe of a node that drains is no query, and its failure would speak against the node
@@ -145,7 +145,7 @@
         if (!e.ended) {
             leave(e);
             end(e, without(e.written ? Outcome.CANCELLED
-                : e.query != null && e.query.left ? Outcome.NEVER_SENT : Outcome.NO_CONNECTION));
+                : e.clientLeft() ? Outcome.NEVER_SENT : Outcome.NO_CONNECTION));
         }
     }
 
--- a/proxy/src/test/java/spurroad/program/NarrowMomentsTest.java
+++ b/proxy/src/test/java/spurroad/program/NarrowMomentsTest.java
@@ -171,31 +171,28 @@
         }
     }
 
-    /** The module's pauses grow to 12 s, past the 10 s for which a list may be held to on jaffna-student-housing. */
-    @Test
-    public void discoveryIsAskedWithinTheTimeThatTheSettingsGive() throws Exception {
-        try (Peer node = new Peer(ServiceTest.hit("a")); Peer discovery = new Peer(m -> "")) {
-            long since = System.nanoTime();
-            proxy(start(discovery, node).replace("\"tickUs\"", "\"obligations\":{\"askWithinUs\":500000},\"tickUs\""));
-            for (int i = 0; i < 20; i++) {
-                assertNotNull(discovery.await("GET"));
-            }
-            assertTrue(msSince(since) < 9000, "twenty calls took " + msSince(since) + " ms");
-        }
+    @DataProvider
+    Object[][] impatient() {
+        return new Object[][] {{"\"tickUs\"", "\"obligations\":{\"askWithinUs\":500000},\"tickUs\"", 20, 9000},
+            {"on_request", "pushed", 12, 5000}};
     }
 
-    /** Its agent may be away for a while: what it has then counts at its return. */
-    @Test
-    public void whereListsArePushedABrokenWatchIsOpenedAnewAtOnce() throws Exception {
-        AtomicInteger calls = new AtomicInteger();
+    /**
+     * The module's pauses grow to 12 s, past the 10 s for which a list may be held to on jaffna-student-housing. Where lists
+     * are pushed, what their agent has after a while away counts at its return.
+     */
+    @Test(dataProvider = "impatient")
+    public void discoveryIsAskedAgainWithinTheTimeThatTheSettingsGive(String key, String with, int calls, long ms)
+        throws Exception {
+        AtomicInteger came = new AtomicInteger();
         try (Peer node = new Peer(ServiceTest.hit("a"));
-             Peer agent = new Peer(m -> calls.incrementAndGet() < 12 ? "" : ServiceTest.WATCH)) {
+             Peer discovery = new Peer(m -> came.incrementAndGet() < calls ? "" : ServiceTest.WATCH)) {
             long since = System.nanoTime();
-            proxy(start(agent, node).replace("on_request", "pushed"));
-            for (int i = 0; i < 12; i++) {
-                assertNotNull(agent.await("GET"));
+            proxy(start(discovery, node).replace(key, with));
+            for (int i = 0; i < calls; i++) {
+                assertNotNull(discovery.await("GET"));
             }
-            assertTrue(msSince(since) < 5000, "twelve calls took " + msSince(since) + " ms");
+            assertTrue(msSince(since) < ms, calls + " calls took " + msSince(since) + " ms");
         }
     }
 
