--- a/proxy/src/main/java/spurroad/program/Service.java
+++ b/proxy/src/main/java/spurroad/program/Service.java
@@ -34,7 +34,7 @@
     private static final long STILL_ACCEPT_NS = 500_000_000L; // ns; new connections go on coming for up to 400 ms
     private static final long CLOSING_MS = 200; // ms; for those whom the system has accepted
     private static final long MOST_WAIT_NS = 3_000_000_000L; // ns; whoever kills waits for no longer one
-    private static final long GRACE_NS = 600_000_000L; // ns; after that wait it may be killed 0.7 s later; and a stall
+    private static final long GRACE_NS = 500_000_000L; // ns; after that wait it may be killed 0.7 s later; and a busy moment
     private static final long LAST_NS = 400_000_000L; // ns; what comes last still has so long for its answer
     private static final long MOST_ON_NS = 2_500_000_000L; // ns; whoever takes over is up by then
     private static final long LOOK_MS = 5; // ms; how often it is looked whether all clients are gone
--- a/proxy/src/main/java/spurroad/routing/Clients.java
+++ b/proxy/src/main/java/spurroad/routing/Clients.java
@@ -219,9 +219,12 @@
         loop.tell(() -> loop.after(ns, decider::answerAll)); // what was taken before may wait longer than that
     }
 
-    /** The longest that a client waits for an answer: as told, or as seen since the start; in nanoseconds. */
+    /**
+     * The longest that a client waits for an answer, in nanoseconds: as the settings tell it, which whoever kills goes by
+     * too, whatever a single client says; as seen since the start where they don't.
+     */
     public long longestWaitNs() {
-        return Math.max(longestWaitMs * NS_PER_MS, statementTimeoutNs);
+        return statementTimeoutNs > 0 ? statementTimeoutNs : longestWaitMs * NS_PER_MS;
     }
 
     public int count() {
