A reset is no end: an answer without a length is whole only with an end in order

Cause: Connection told its user of an end and of a break alike, and NodeConnection.ended took what was there of a body without a length for all of it, as HTTP/1.1 has it at the close; on a reset half of a value was passed on. Ruled out: answers with a length or in chunks (a break inside them was DROPPED before as well), bytes before the reset (the system hands them out first, whichever comes first). Now only an end in order makes such a body whole; a break is DROPPED and may have run. Test: eight endings; the two with a body that was reset whole into the system's buffer fail without.

--- a/proxy/src/main/java/spurroad/routing/NodeConnection.java
+++ b/proxy/src/main/java/spurroad/routing/NodeConnection.java
@@ -209,10 +209,13 @@
         alarm = node.loop().after(cameAt + STALL_NS - node.now(), this::cut);
     }
 
-    /** It ended or broke; an answer that lasts as long as its connection is whole now. */
+    /**
+     * It ended or broke. An answer that lasts as long as its connection is whole with an end in order, and with that alone:
+     * an origin's answers without a length were cut off by resets and passed on for whole (split and zone, lost).
+     */
     @Override
     public void ended() {
-        if (!closed) {
+        if (!closed && connection.endedInOrder()) {
             in.end();
             read();
         }
--- a/proxy/src/main/java/spurroad/transport/Connection.java
+++ b/proxy/src/main/java/spurroad/transport/Connection.java
@@ -42,7 +42,7 @@
     private long taken;
     private SelectionKey reads, writes;
     private User user;
-    private boolean closed;
+    private boolean closed, endedInOrder;
 
     /** A socket, or two channels that stand for one; to be opened before anything else. */
     public Connection(Loop loop, ReadableByteChannel source, WritableByteChannel sink, Runnable placeBack) {
@@ -118,6 +118,7 @@
             if (n > 0) {
                 user.came(loop.in.flip());
             } else if (n < 0) {
+                endedInOrder = true;
                 broke();
             }
             return n > 0;
@@ -275,6 +276,11 @@
         return closed;
     }
 
+    /** Whether the peer has said that nothing follows; a connection that broke may have lost what was on its way. */
+    public boolean endedInOrder() {
+        return endedInOrder;
+    }
+
     public void close() {
         if (!closed) {
             closed = true;
--- a/proxy/src/test/java/spurroad/Peers.java
+++ b/proxy/src/test/java/spurroad/Peers.java
@@ -109,6 +109,12 @@
             last.close();
         }
 
+        /** Breaks the connection opened last; what was said before can still be read. */
+        public void reset() throws IOException {
+            last.setSoLinger(true, 0);
+            last.close();
+        }
+
         /** The next thing heard that begins so. */
         public String await(String start) throws InterruptedException {
             String next = heard.poll(PATIENCE_MS, TimeUnit.MILLISECONDS);
--- a/proxy/src/test/java/spurroad/routing/NodeActorTest.java
+++ b/proxy/src/test/java/spurroad/routing/NodeActorTest.java
@@ -120,6 +120,33 @@
         }
     }
 
+    @DataProvider
+    Object[][] endings() {
+        String head = "HTTP/1.1 200 OK\r\n";
+        return new Object[][] {{head + "\r\nhalf", false, Outcome.COMPLETED}, {head + "\r\nhalf", true, Outcome.DROPPED},
+            {head + "\r\n", true, Outcome.DROPPED}, {head + "Content-Length: 8\r\n\r\nhalf", false, Outcome.DROPPED},
+            {head + "Content-Length: 8\r\n\r\nhalf", true, Outcome.DROPPED},
+            {head + "Transfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n", false, Outcome.DROPPED},
+            {head + "Transfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n", true, Outcome.DROPPED},
+            {head + "\r\n" + "half".repeat(20_000), true, Outcome.DROPPED}};
+    }
+
+    /** A reset is no end: half of a value was passed on as all of it, where answers have no length. */
+    @Test(dataProvider = "endings")
+    public void anAnswerWithoutALengthIsWholeOnlyWithAnEndInOrder(String says, boolean reset, Outcome outcome)
+        throws Exception {
+        try (Peers.Peer peer = new Peers.Peer(message -> says)) {
+            begin(node(peer.port, true, new Descriptors(100)), LONG_NS);
+            peer.say(""); // behind its answer
+            if (reset) {
+                peer.reset();
+            } else {
+                peer.hangUp();
+            }
+            assertEquals(outcome(), outcome);
+        }
+    }
+
     @Test
     public void noConnectionProvesThatNothingRan() throws Exception {
         int free;
