SIGHUP twice at once and SIGTERM right behind it, with queries on their way: a test

Read, and found sound: settings pass the loop and the module's mailbox in the order of the queries, and a query keeps its track.

--- a/proxy/src/test/java/spurroad/program/NarrowMomentsTest.java
+++ b/proxy/src/test/java/spurroad/program/NarrowMomentsTest.java
@@ -103,6 +103,44 @@
         return answer;
     }
 
+    /**
+     * SIGHUP, twice at once, and SIGTERM right behind, with queries on their way: classes change their numbers, may be
+     * repeated no more, have less time and fewer executions. What was taken under the former settings is answered.
+     */
+    @Test
+    public void settingsThatChangeRightBeforeTheEndLoseNothingThatWasTaken() throws Exception {
+        CountDownLatch go = new CountDownLatch(1);
+        try (Peer node = new Peer(m -> held(go, ServiceTest.hit("v").apply(m)));
+             Peer discovery = new Peer(m -> ServiceTest.WATCH)) {
+            String text = start(discovery, node);
+            String read = text.replaceFirst("(?s).*'tracks':\\[(\\{.*?\\}),.*".replace('\'', '"'), "$1");
+            String other = text.replace(read + ",", "").replace("\"sloTimeUs\":8000000,\"importance\":5}",
+                "\"statementTimeoutUs\":800000,\"sloTimeUs\":400000,\"importance\":5}," + read.replace("read", "late")
+                    + "," + read.replace("retryable", "fragile")).replace("\"mostExecutions\":6", "\"mostExecutions\":1");
+            Service s = proxy(text);
+            try (Client before = new Client(s.port()); Client after = new Client(s.port())) {
+                before.say(read("1"));
+                assertNotNull(node.await("mg"));
+                List<Thread> hups = new ArrayList<>();
+                for (int i = 0; i < 2; i++) {
+                    hups.add(new Thread(() -> s.reload(() -> new ProxyStart(other))));
+                    hups.get(i).start();
+                }
+                for (Thread hup : hups) {
+                    hup.join();
+                }
+                Thread end = ServiceTest.ending(s);
+                after.say(read("2") + read("3").replace("c=read", "c=late") + read("4").replace("c=read", "c=none"));
+                assertNotNull(node.await("mg"));
+                go.countDown();
+                assertEquals(before.line() + before.line(), "VA 1 O1v");
+                assertEquals(after.line() + after.line() + after.line() + after.line(), "VA 1 O2vVA 1 O3v");
+                assertEquals(after.line(), "CLIENT_ERROR unknown class");
+                end.join();
+            }
+        }
+    }
+
     // ---- a list that goes quiet
 
     /** How a watch goes quiet: without a byte, or with bytes that never make a line. */
