A repeat goes out while nodes know it for one, or not at all

Cause: the module looks at the window when it decides; the connection may come up 0.25 s later, a place come free, or the last byte be taken, after the window. Ruled out: the module's own look (decisions carry the first execution's time, which is before it ran). Now a start says until when its last byte may go out (Start.sentBy, the window less a tick); the node's actor asks that with the question before a first byte, and an alarm ends what has not gone out whole by then (NEVER_SENT: the node is not to blame).

--- a/core/src/main/java/spurroad/Balance.java
+++ b/core/src/main/java/spurroad/Balance.java
@@ -552,7 +552,7 @@
             tell(n, Word.Topic.HELD, 1, q.write ? q.key : CacheKey.NONE);
             n.trickleLeft -= n.trickle > 0 ? 1 : 0;
             long until = q.track.lateShare() > 0 || q.write ? q.endAt : q.sloAt;
-            decisions.starts.add(new Decisions.Start(q.id, n.entry.id(), until - now));
+            decisions.starts.add(new Decisions.Start(q.id, n.entry.id(), until - now, q.knownUntil()));
         }
 
         void back(Qry q, Exec e, Outcome outcome) {
@@ -604,7 +604,7 @@
     }
 
     private boolean remembered(Qry q) {
-        return now + given.tickNs() < q.mayHaveRun.sentAt + q.track.dedupWindowNs();
+        return now + given.tickNs() < q.knownUntil();
     }
 
     private void giveUp(Qry q) {
--- a/core/src/main/java/spurroad/Qry.java
+++ b/core/src/main/java/spurroad/Qry.java
@@ -5,6 +5,7 @@
 import java.util.Random;
 import java.util.Set;
 import spurroad.model.CacheKey;
+import spurroad.model.Effect;
 import spurroad.model.QueryId;
 import spurroad.model.Track;
 
@@ -41,4 +42,10 @@
         endAt = now + budgetNs;
         sloAt = Math.min(endAt, now + sloNs);
     }
+
+    /** Until when nodes know it for the same one, if an execution of it may have run and another is allowed by that. */
+    long knownUntil() {
+        return mayHaveRun == null || track.effect() != Effect.DEDUPLICATED ? Long.MAX_VALUE
+            : mayHaveRun.sentAt + track.dedupWindowNs();
+    }
 }
--- a/core/src/test/java/spurroad/BalanceTest.java
+++ b/core/src/test/java/spurroad/BalanceTest.java
@@ -54,6 +54,21 @@
         }
     }
 
+    @Test
+    public void aRepeatHasToGoOutWhileItIsKnownForOne() {
+        Rig rig = Rig.of(6, false);
+        rig.ask(1, MARKED, KEY);
+        assertEquals(rig.decided.starts.get(0).sentBy(), Long.MAX_VALUE, "a first execution is no repeat");
+        rig.now += 300 * MS;
+        assertEquals(rig.end(1, 0, Outcome.NO_CONNECTION).starts.get(0).sentBy(), Long.MAX_VALUE, "nor after none that ran");
+        long ran = rig.now;
+        rig.now += 300 * MS;
+        assertEquals(rig.end(1, 1, Outcome.DROPPED).starts.get(0).sentBy(), ran + 800 * MS);
+        rig.ask(2, READ, KEY);
+        rig.now += 300 * MS;
+        assertEquals(rig.end(2, 0, Outcome.DROPPED).starts.get(0).sentBy(), Long.MAX_VALUE, "may run twice");
+    }
+
     /** Scope of the marks, and when the first execution failed: where a deduplicated query may go next. */
     @DataProvider
     Object[][] marks() {
--- a/proxy/src/main/java/spurroad/routing/Decider.java
+++ b/proxy/src/main/java/spurroad/routing/Decider.java
@@ -490,7 +490,7 @@
         for (Decisions.Start s : decisions.starts) {
             Query q = queries.get(s.query());
             Errand e = new Errand(q, q.executions.size(), nodes.get(s.node()), now + s.allowNs(),
-                stalls.total());
+                s.sentBy() - figures.deployment.tickNs(), stalls.total());
             q.executions.add(e);
             q.out++;
             forLoop.add(new Begin(e));
@@ -517,7 +517,7 @@
                 mailbox.tell(() -> unknown(id)); // gone since the module last heard of it
                 continue;
             }
-            Errand probe = new Errand(null, 0, n, now + 2 * figures.connectNs, stalls.total());
+            Errand probe = new Errand(null, 0, n, now + 2 * figures.connectNs, Long.MAX_VALUE, stalls.total());
             forLoop.add(() -> n.begin(probe));
         }
         for (NodeId id : decisions.closes) {
--- a/proxy/src/main/java/spurroad/routing/Errand.java
+++ b/proxy/src/main/java/spurroad/routing/Errand.java
@@ -9,6 +9,8 @@
     final int number;
     final NodeActor node;
     final long until;
+    /** By when its last byte has to go out, if at all: later a repeat is no repeat any more where it would run. */
+    final long sentBy;
     /** Whether its first byte has gone out, and whether its last may have. */
     boolean begun, written;
     // the node actor's
@@ -23,11 +25,12 @@
     /** The long value of its answer, where it has one. */
     Passage passage;
 
-    Errand(Query query, int number, NodeActor node, long until, long stalledNs) {
+    Errand(Query query, int number, NodeActor node, long until, long sentBy, long stalledNs) {
         this.query = query;
         this.number = number;
         this.node = node;
         this.until = until;
+        this.sentBy = sentBy;
         this.stalledNs = stalledNs;
     }
 
--- a/proxy/src/main/java/spurroad/routing/NodeActor.java
+++ b/proxy/src/main/java/spurroad/routing/NodeActor.java
@@ -108,8 +108,8 @@
      * else: the news that forbids it may have come between the decision and a place or a connection.
      */
     Outcome forbids(Errand e) {
-        if (e.clientLeft()) {
-            return Outcome.NEVER_SENT; // its client has gone, and the node is not to blame
+        if (e.clientLeft() || now() >= e.sentBy) {
+            return Outcome.NEVER_SENT; // its client has gone, or its time to go out, and the node is not to blame
         }
         // a probe of a node that drains is no query, and its failure would speak against the node
         boolean open = takesNew() || e.query == null && !gone && !held;
@@ -136,7 +136,7 @@
     void begin(Errand e) {
         e.begunAt = now();
         e.generation = generation; // what was decided later comes later
-        e.alarm = around.loop.after(e.until - now(), new TimedOut(this, e));
+        awaits(e, Math.min(e.sentBy, e.until));
         place(e);
     }
 
@@ -228,10 +228,17 @@
         }
     }
 
+    private void awaits(Errand e, long until) {
+        e.alarm = around.loop.after(until - now(), new TimedOut(this, e));
+    }
+
     private void timedOut(Errand e) {
-        if (!e.ended) {
+        if (!e.ended && e.written && now() < e.until) {
+            awaits(e, e.until); // it has gone out in time, its answer may still come
+        } else if (!e.ended) {
+            boolean tooLate = now() < e.until; // for its last byte alone: the node is not to blame
             leave(e);
-            end(e, without(e.written ? Outcome.TIMED_OUT : Outcome.NO_CONNECTION));
+            end(e, without(e.written ? Outcome.TIMED_OUT : tooLate ? Outcome.NEVER_SENT : Outcome.NO_CONNECTION));
         }
     }
 
--- a/rig/src/main/java/spurroad/rig/policy/Baseline.java
+++ b/rig/src/main/java/spurroad/rig/policy/Baseline.java
@@ -111,7 +111,7 @@
         q.targets.add(target);
         q.out++;
         out.merge(target, 1, Integer::sum);
-        into.starts.add(new Decisions.Start(id, target, q.endAt - at));
+        into.starts.add(new Decisions.Start(id, target, q.endAt - at, Long.MAX_VALUE));
     }
 
     private NodeId choose(Query q) {
