What the end of a process has answered is not sent on when its connection comes up

Read for races: answerAll gave the final answer of a query whose execution waited for a connection, and that went out when it came up, since only a client's leaving was asked before a first byte. Nobody waiting is the same in both cases now (Errand.unwanted). The test holds a connect until the end has answered; without the change the query goes out.

--- a/proxy/src/main/java/spurroad/routing/Decider.java
+++ b/proxy/src/main/java/spurroad/routing/Decider.java
@@ -253,6 +253,7 @@
     /** The module owes it no answer any more. */
     private void leaves(Query q) {
         q.over = true;
+        forLoop.add(() -> q.left = true);
         q.executions.forEach(e -> forLoop.add(() -> e.node.withdraw(e)));
         balance.left(clock.now(), q.id, fresh());
         carryOut();
--- a/proxy/src/main/java/spurroad/routing/Errand.java
+++ b/proxy/src/main/java/spurroad/routing/Errand.java
@@ -34,8 +34,8 @@
         this.stalledNs = stalledNs;
     }
 
-    /** Whether the client that it is for has gone; never so for a probe. */
-    boolean clientLeft() {
+    /** Whether nobody waits for it any more; never so for a probe. */
+    boolean unwanted() {
         return query != null && query.left;
     }
 
--- a/proxy/src/main/java/spurroad/routing/NodeActor.java
+++ b/proxy/src/main/java/spurroad/routing/NodeActor.java
@@ -108,8 +108,8 @@
      * else: the news that forbids it may have come between the decision and a place or a connection.
      */
     Outcome forbids(Errand e) {
-        if (e.clientLeft() || now() >= e.sentBy) {
-            return Outcome.NEVER_SENT; // its client has gone, or its time to go out, and the node is not to blame
+        if (e.unwanted() || now() >= e.sentBy) {
+            return Outcome.NEVER_SENT; // nobody waits for it, or its time to go out is over: the node is not to blame
         }
         // a probe of a node that drains is no query, and its failure would speak against the node
         boolean open = takesNew() || e.query == null && !gone && !held;
@@ -145,7 +145,7 @@
         if (!e.ended) {
             leave(e);
             end(e, without(e.written ? Outcome.CANCELLED
-                : e.clientLeft() ? Outcome.NEVER_SENT : Outcome.NO_CONNECTION));
+                : e.unwanted() ? Outcome.NEVER_SENT : Outcome.NO_CONNECTION));
         }
     }
 
--- a/proxy/src/main/java/spurroad/routing/Query.java
+++ b/proxy/src/main/java/spurroad/routing/Query.java
@@ -17,7 +17,7 @@
     final long takenAt;
     /** For how long it can be worked on, in nanoseconds from then. */
     final long waitNs;
-    /** Whether its client has gone: what was not yet written for it is not sent on. The loop's. */
+    /** Whether nobody waits for it any more: what was not yet written for it is not sent on. The loop's. */
     boolean left;
     // the decider's
     QueryId id;
--- a/proxy/src/test/java/spurroad/program/LeavingClientsTest.java
+++ b/proxy/src/test/java/spurroad/program/LeavingClientsTest.java
@@ -151,6 +151,7 @@
         int discovery = opened(new Peer(m -> ServiceTest.WATCH)).port;
         return ServiceTest.service(new ProxyStart(Peers.start(discovery, sockets, Peers.list(1, true, targets))
             .replace("\"connectTimeoutUs\":250000", "\"connectTimeoutUs\":5000000")
+            .replace("\"sloTimeUs\"", "\"statementTimeoutUs\":600000,\"sloTimeUs\"") // which sets when an end is over
             .replace("\"cancel\":true", "\"cancel\":" + cancels)
             .replace("aside", waits == Waits.LAST_BYTE ? "through" : "aside")));
     }
@@ -211,6 +212,28 @@
         assertTrue(waits != Waits.LAST_BYTE || begun, "none was begun");
     }
 
+    /** What waited for a connection was answered before the kill, and went out all the same when that came up. */
+    @Test(timeOut = 60_000)
+    public void nothingIsSentOnOnceTheEndHasAnsweredIt() throws Exception {
+        gate = new CountDownLatch(1);
+        sentOn.clear();
+        came.set(0);
+        Service s = proxy(Waits.CONNECTION, false);
+        Client c = opened(new Client(s.port()).say("mn\r\n" + READ.replace("#", "1")));
+        assertEquals(c.line(), "MN");
+        Thread end = ServiceTest.ending(s);
+        assertTrue(c.line().startsWith("SERVER_ERROR"));
+        gate.countDown();
+        long opened = System.nanoTime();
+        while (came.get() < 2 * NODES + 1 && (System.nanoTime() - opened) / MS < CONNECTS_MS) {
+            Thread.sleep(10);
+        }
+        assertTrue(came.get() > 2 * NODES, "no connection came up: " + came);
+        Thread.sleep(AFTER_MS);
+        assertEquals(sentOn, Map.of());
+        end.join();
+    }
+
     private long after(String id, long[] left) {
         String number = id.replaceAll("\\D", "");
         return id.startsWith("w") || id.startsWith("f") ? (sentOn.get(id) - left[Integer.parseInt(number)]) / MS : -1;
