Nodes that have gone are forgotten once more than 4,096 are known

Beyond 4,096 those that are gone and have nothing out are let go; one that comes back before is known again, as now.

--- a/core/src/main/java/spurroad/Balance.java
+++ b/core/src/main/java/spurroad/Balance.java
@@ -43,6 +43,7 @@
     static final double COME_BACK = 0.5; // of the SLO time until a rejected client may try: queues have moved
     static final long OWED_NS = 2_000_000_000L; // ns; by then a node given back has work, where there is any
     static final long FOLLOW_NS = 500_000_000L; // ns; first pause before following the list again
+    static final int MOST_KNOWN = 4_096; // nodes, gone ones too: who comes back is known again
     static final long LONGEST_FOLLOW_NS = 8_000_000_000L; // ns; the list is one service for all proxies
     static final long HELD_NS = 1_000_000_000L; // ns; what is out and never ends well counts about so long
     static final long SAY_NS = 200_000_000L; // ns; until a keeper says a figure again
@@ -111,9 +112,7 @@
     /** The list came, whole or as changes. */
     public void listed(long at, List<NodeEntry> entries, boolean complete, Decisions into) {
         begin(at, into);
-        for (Node n : complete ? nodes.values() : List.<Node>of()) {
-            n.entry = n.entry.gone();
-        }
+        (complete ? nodes.values() : List.<Node>of()).forEach(n -> n.entry = n.entry.gone());
         for (NodeEntry e : entries) {
             Node n = nodes.get(e.id());
             if (n == null || n.entry.startedNs() != e.startedNs()) {
@@ -139,6 +138,7 @@
     private void arrange() {
         nodes.values().forEach(n -> n.banned = byHand.contains(n.entry.id()));
         owed.removeIf(id -> nodes.get(id).phase() != Phase.READY);
+        nodes.values().removeIf(n -> nodes.size() > MOST_KNOWN && n.out.isEmpty() && n.phase() == Phase.GONE);
         caches = new ArrayList<>(nodes.values().stream().filter(n -> n.phase() == Phase.READY).toList());
         origin = caches.stream().filter(n -> given.isOrigin(n.entry)).findFirst().orElse(null);
         caches.remove(origin);
--- a/core/src/test/java/spurroad/BalanceTest.java
+++ b/core/src/test/java/spurroad/BalanceTest.java
@@ -9,8 +9,10 @@
 import static spurroad.Rig.ONCE;
 import static spurroad.Rig.READ;
 
+import java.lang.reflect.Field;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import java.util.TreeSet;
 import org.testng.annotations.DataProvider;
@@ -54,6 +56,25 @@
         }
     }
 
+    /** Each release brings nodes of other names; those that had gone were kept for as long as the proxy lived. */
+    @Test
+    public void nodesThatAreGoneAreForgottenOnceTheyAreMany() throws Exception {
+        Rig rig = Rig.of(4, true);
+        long stays = rig.target(1, READ, KEY);
+        for (long n = 100; n < 3 * Balance.MOST_KNOWN; n++) {
+            rig.list(false, List.of(Rig.entry(n, Phase.READY, 0)));
+            rig.list(false, List.of(Rig.entry(n, Phase.GONE, 0)));
+        }
+        rig.list(false, List.of(Rig.entry(stays, Phase.GONE, 0)));
+        Field nodes = Balance.class.getDeclaredField("nodes");
+        nodes.setAccessible(true);
+        int known = ((Map<?, ?>) nodes.get(rig.balance)).size();
+        assertTrue(known <= Balance.MOST_KNOWN && known > Balance.MOST_KNOWN / 2, "known: " + known);
+        assertEquals(rig.end(1, 0, Outcome.COMPLETED).answers, List.of(), "what was out there ends as ever");
+        assertEquals(rig.balance.standings().listed(), 3);
+        assertTrue(rig.target(2, READ, KEY) != stays);
+    }
+
     @Test
     public void aRepeatHasToGoOutWhileItIsKnownForOne() {
         Rig rig = Rig.of(6, false);
