--- a/proxy/src/test/java/spurroad/program/LeavingClientsTest.java
+++ b/proxy/src/test/java/spurroad/program/LeavingClientsTest.java
@@ -143,6 +143,14 @@
         return server.getLocalPort();
     }
 
+    /** Another play, what is waited for being there from the first or not. */
+    private void begin(boolean open) {
+        plays++;
+        gate = new CountDownLatch(open ? 0 : 1);
+        sentOn.clear();
+        came.set(0);
+    }
+
     private Service proxy(Waits waits, boolean cancels) throws Exception {
         String[] targets = new String[NODES + 1];
         for (int i = 0; i < NODES; i++) {
@@ -176,10 +184,7 @@
      */
     @Test(dataProvider = "waits", timeOut = 60_000)
     public void nothingIsSentOnForClientsThatLeft(Waits waits, boolean cancels) throws Exception {
-        plays++;
-        gate = new CountDownLatch(waits == Waits.NOTHING ? 0 : 1);
-        sentOn.clear();
-        came.set(0);
+        begin(waits == Waits.NOTHING);
         Service s = proxy(waits, cancels);
         List<Client> holders = new ArrayList<>();
         for (int i = 0; i < HOLDERS && waits == Waits.ROOM; i++) { // more than there is room for
@@ -222,10 +227,7 @@
     /** What waited for a connection was answered before the kill, and went out all the same when that came up. */
     @Test(timeOut = 60_000)
     public void nothingIsSentOnOnceTheEndHasAnsweredIt() throws Exception {
-        plays++;
-        gate = new CountDownLatch(1);
-        sentOn.clear();
-        came.set(0);
+        begin(false);
         Service s = proxy(Waits.CONNECTION, false);
         Client c = opened(new Client(s.port()).say("mn\r\n" + READ.replace("#", number(1))));
         assertEquals(c.line(), "MN");
