Failing test: what a client leaves unfinished loses the whole request that it sent before

Seen: a client sends a whole read and half a command behind it (half a line, a value, a long value), or a flood of what is no command. 2.2 s after its last byte, or after 256 KiB, ClientConnection.tidy and came close the connection, and the read, which its node answers after 3 s of its 9, is never answered: all 4 rows fail. Lines at fault: `stalled` in tidy and `dropped > LAST_BYTES` in came ask nothing of `slots`.

--- /dev/null
+++ b/proxy/src/test/java/spurroad/program/UnfinishedCommandTest.java
@@ -0,0 +1,72 @@
+package spurroad.program;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertNotNull;
+import static org.testng.Assert.assertTrue;
+
+import java.util.concurrent.CountDownLatch;
+import java.util.function.Function;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+import spurroad.Peers.Client;
+import spurroad.Peers.Peer;
+
+/**
+ * Clients that send a whole request and then something that never ends as it should: whatever becomes of the
+ * rest, the request that was whole gets its answer.
+ */
+public class UnfinishedCommandTest {
+    private static final long MS = 1_000_000L;
+    /** Longer than an unfinished command is waited for, shorter than the request may take. */
+    private static final long ANSWER_AFTER_MS = 3_000;
+    /** Within what a client that stops in the middle of a command is owed its error or a close. */
+    private static final long OWED_MS = 3_000;
+    private static final int LONG_VALUE = 200_000;
+    private static final int FLOOD_BYTES = 1_000_000;
+
+    @DataProvider
+    Object[][] rests() {
+        return new Object[][] {{"half a line", "mg k2 v O2 Pc=re"},
+            {"half a value", "ms k2 10 O2 Pc=put,t=acme,d=9000,k=5\r\nabc"},
+            {"half a long value", "ms k2 " + LONG_VALUE + " O2 Pc=put,t=acme,d=9000,k=5\r\nabc"},
+            {"a flood of what is no command", "x".repeat(FLOOD_BYTES)}};
+    }
+
+    @Test(dataProvider = "rests")
+    public void aWholeRequestBeforeItIsAnswered(String name, String rest) throws Exception {
+        CountDownLatch go = new CountDownLatch(1);
+        Function<String, String> held = message -> {
+            if (message.startsWith("mg")) {
+                await(go);
+            }
+            return ServiceTest.hit("v").apply(message);
+        };
+        try (Peer node = new Peer(held); Peer discovery = new Peer(message -> ServiceTest.WATCH)) {
+            Service service = ServiceTest.proxy(discovery, 256,
+                spurroad.Peers.target("s-1", "m1", node.port, "active", 0));
+            try (Client client = new Client(service.port())) {
+                client.say(ServiceTest.READ);
+                assertNotNull(node.await("mg"));
+                client.sayInBackground(rest);
+                Thread.sleep(ANSWER_AFTER_MS);
+                go.countDown();
+                assertEquals(client.line(), "VA 1 O1", "the answer to the request that was whole");
+                assertEquals(client.line(), "v");
+                long since = System.nanoTime();
+                for (String line = client.line(); line != null; line = client.line()) {
+                    assertTrue(line.startsWith("CLIENT_ERROR"), line);
+                }
+                assertTrue(System.nanoTime() - since < OWED_MS * MS, "left open");
+            }
+            ServiceTest.ending(service).join();
+        }
+    }
+
+    private static void await(CountDownLatch latch) {
+        try {
+            latch.await();
+        } catch (InterruptedException e) {
+            throw new IllegalStateException(e);
+        }
+    }
+}
