A client's unfinished command or flood leaves its whole requests their answers

Change: where requests wait, what is unfinished gets CLIENT_ERROR behind their answers and the connection ends after it; a flood is not read on until they have theirs. Nobody can see behind a flood whether its client has left, so no attempt begins for it any more and its requests end at once with what they have.

--- a/proxy/src/main/java/spurroad/routing/ClientConnection.java
+++ b/proxy/src/main/java/spurroad/routing/ClientConnection.java
@@ -119,10 +119,7 @@
     @Override
     public void came(ByteBuffer bytes) {
         if (lost) {
-            dropped += bytes.remaining(); // a close upon unread bytes would overtake the answer
-            if (dropped > LAST_BYTES) {
-                close();
-            }
+            drop(bytes);
             return;
         }
         cameAt = clients.now();
@@ -138,6 +135,24 @@
         }
     }
 
+    /** What follows a fault: read, as a close upon unread bytes would overtake the answers before it. */
+    private void drop(ByteBuffer bytes) {
+        dropped += bytes.remaining();
+        if (dropped <= LAST_BYTES) {
+            return;
+        }
+        if (waiting() == 0) {
+            close();
+        } else {
+            connection.reading(false); // until the requests before the fault have their answers
+        }
+    }
+
+    /** Whether more has been sent behind a fault than is read, so that its end would not be seen. */
+    private boolean floods() {
+        return lost && dropped > LAST_BYTES;
+    }
+
     @Override
     public void ended() {
         close();
@@ -196,6 +211,9 @@
      */
     boolean hasLeft() {
         long toldAt = connection.isReading() && !mayHoldMore ? clients.loop.arrivedAt() : lookedAt;
+        if (floods()) {
+            return true; // nobody can tell: its requests end with what they have
+        }
         if (gone()) {
             close();
         } else if (clients.now() - Math.max(toldAt, lookedAt) > KNOWN_NS) {
@@ -210,7 +228,7 @@
         if (!over && (upload == null || noRoom)) {
             lookedAt = clients.now();
             ahead = true;
-            while (aheadLeft() > 0 && connection.unread(aheadLeft()) && !gone()) {
+            while (aheadLeft() > 0 && !floods() && connection.unread(aheadLeft()) && !gone()) {
                 continue;
             }
             ahead = false;
@@ -537,6 +555,8 @@
      * Lets the last answer arrive: a close while the client still sends would take back what it has not got.
      */
     private void endOnceTaken() {
+        dropped = 0;
+        connection.reading(true);
         connection.endOutput();
         clients.loop.after(HOLDING_NS, this::close);
     }
@@ -659,13 +679,30 @@
         }
         boolean half = begunAt != Long.MAX_VALUE || upload != null && !noRoom;
         boolean stalled = half && now - (guest ? HOLDING_NS : IDLE_NS) > cameAt || now - LONGEST_NS > begunAt;
-        if (stalled || now - SLOW_NS > writingSince && !connection.isDrained()) {
-            close(); // the rest of a command has not come for long, which was never taken; or nobody reads
+        if (stalled) {
+            endUnfinished();
+        } else if (now - SLOW_NS > writingSince && !connection.isDrained()) {
+            close(); // nobody reads
         } else if (now - idleSince > (crowded ? crowdedNs() : quietNs())) {
             closeIfIdle();
         }
     }
 
+    /** The rest of a command has not come for long: it was never taken, but requests before it were. */
+    private void endUnfinished() {
+        if (waiting() == 0) {
+            close();
+            return;
+        }
+        giveUploadRoom();
+        upload = null;
+        begunAt = Long.MAX_VALUE;
+        Slot slot = new Slot();
+        slots.add(slot);
+        slot.answer = fault(slot, "CLIENT_ERROR command not finished in time", true);
+        flush();
+    }
+
     private long crowdedNs() {
         return answered ? CROWDED_NS : HOLDING_NS;
     }
