Failing tests: a full shared folder gives nodes back and refuses starts; a stepped clock swaps processes

Seen, each by a test (a folder that stands where a file is to be written makes writing fail): - a call takes a node out of use, its file can't be written: staff are told yes, and 250 ms later the process's own look takes the missing file for a call back and uses the node again (HandoverTest, given back by itself); - a new process whose lock or state can't be written ends with "can't listen" (3 of 3 rows throw); - the clock set back by an hour between two starts: the new process takes itself for the former one, and both count descriptors as if the other were to leave (bound() of both is for the last). Lines at fault: Handover.write (IOException logged, then confirmed), Handover.look (no file: given back), Handover.serves and the constructor (IOException up to Main.end), ProcessState.after by currentTimeMillis.

--- a/proxy/src/test/java/spurroad/program/HandoverTest.java
+++ b/proxy/src/test/java/spurroad/program/HandoverTest.java
@@ -5,8 +5,10 @@
 import static org.testng.Assert.assertTrue;
 
 import java.io.IOException;
+import java.nio.channels.FileChannel;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
@@ -149,6 +151,101 @@
         old.handover.end();
     }
 
+    // ---- a folder that can't be worked for a while (no room, errors of the disk): a folder stands in the way
+
+    private static Path obstacle(Path shared, String name) throws IOException {
+        return Files.createDirectories(shared.resolve(name).resolve("in the way"));
+    }
+
+    private static void clear(Path obstacle) throws IOException {
+        Files.delete(obstacle);
+        Files.delete(obstacle.getParent());
+    }
+
+    /** Two looks of a process that is alone. */
+    private static void twoLooks() throws InterruptedException {
+        Thread.sleep(600);
+    }
+
+    /** A yes says that the next process knows it too; until that is so there is none, but the node is out. */
+    @Test
+    public void aNodeTakenOutStaysOutWhereTheFolderTakesNothing() throws Exception {
+        Path shared = shared();
+        Process first = new Process(shared, 1).serving();
+        Path full = obstacle(shared, "out-" + SharedFolder.hash("s-1") + ".1.part");
+        BlockingQueue<Boolean> answer = new LinkedBlockingQueue<>();
+        first.handover.called("s-1", true, answer::add);
+        twoLooks();
+        assertEquals(first.out, Set.of("s-1"), "given back by itself");
+        assertNull(answer.poll(), "a yes that the next process knows nothing of");
+        clear(full);
+        assertEquals(answer.poll(10, TimeUnit.SECONDS), Boolean.TRUE);
+        twoLooks();
+        assertEquals(first.out, Set.of("s-1"));
+        first.handover.end();
+        assertEquals(new Process(shared, 2).serving().out, Set.of("s-1"));
+    }
+
+    @Test
+    public void aNodeGivenBackStaysSoWhereItsFileCantBeTakenAway() throws Exception {
+        Path shared = shared();
+        Process first = new Process(shared, 1).serving();
+        Path stuck = obstacle(shared, "out-" + SharedFolder.hash("s-1"));
+        BlockingQueue<Boolean> answer = new LinkedBlockingQueue<>();
+        first.handover.called("s-1", true, known -> {});
+        twoLooks();
+        assertEquals(first.out, Set.of("s-1"));
+        first.handover.called("s-1", false, answer::add);
+        twoLooks();
+        assertEquals(first.out, Set.of());
+        assertNull(answer.poll(), "a yes, and the next process holds it out");
+        clear(stuck);
+        assertEquals(answer.poll(10, TimeUnit.SECONDS), Boolean.TRUE);
+        twoLooks();
+        assertEquals(first.out, Set.of());
+        first.handover.end();
+    }
+
+    @DataProvider
+    Object[][] names() {
+        return new Object[][] {{"2.lock"}, {"2.state.2.part"}, {"2.state"}};
+    }
+
+    /** No room in the folder is no reason not to serve, nor to forget what is out of use. */
+    @Test(dataProvider = "names")
+    public void aProcessThatCantTellOthersOfItselfServes(String name) throws Exception {
+        Path shared = shared();
+        Process first = new Process(shared, 1).serving();
+        assertEquals(first.call("s-1", true), Boolean.TRUE);
+        Path full = obstacle(shared, name);
+        Process second = new Process(shared, 2).serving();
+        assertEquals(second.out, Set.of("s-1"));
+        assertEquals(first.call("s-2", true), Boolean.TRUE);
+        await(() -> second.out.equals(Set.of("s-1", "s-2")));
+        clear(full);
+        await(first.handover::successorServes);
+        first.handover.end();
+        second.handover.end();
+    }
+
+    /** The clock was set back by an hour since the one before began. */
+    @Test
+    public void whoBeganLaterIsTheSuccessorWhateverTheClockSays() throws Exception {
+        Path shared = Files.createDirectories(shared());
+        long later = System.currentTimeMillis() + 3_600_000;
+        try (FileChannel lock = FileChannel.open(shared.resolve("1.lock"), StandardOpenOption.CREATE,
+            StandardOpenOption.WRITE)) {
+            assertTrue(lock.tryLock().isValid());
+            ProcessState before = new ProcessState(later, later, false, 30, Set.of());
+            Files.writeString(shared.resolve("1.state"), before.text());
+            Process next = new Process(shared, 2).serving();
+            await(() -> next.places == ALL - OWN - 30);
+            ProcessState told = ProcessState.read(Files.readString(shared.resolve("2.state")));
+            assertTrue(told.after(before, 2, 1), "the process before takes itself for the later one");
+            next.handover.end();
+        }
+    }
+
     @DataProvider
     Object[][] states() {
         String whole = new ProcessState(5, 7, true, 30, Set.of("a1", "b2")).text();
