A shared folder that takes nothing costs a yes, not the ban; processes keep their order when the clock steps

Ruled out: a torn file under its final name (written beside and renamed); but it was renamed before its bytes were synced, so a machine that failed then could leave it empty. A file that can't be read says nothing, neither out nor back. A process without a lock or state serves, tries again, and looks for 2 s for what is out before that. A lock that can't be looked at is held. What a dead process had half written is cleared away. A process begins later than all that live, whatever the time of day. After: HandoverTest, UpgradeTest, OperationTest pass.

--- a/proxy/src/main/java/spurroad/program/Handover.java
+++ b/proxy/src/main/java/spurroad/program/Handover.java
@@ -7,6 +7,7 @@
 import java.util.Iterator;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.TreeSet;
@@ -35,6 +36,7 @@
         void places(int most);
     }
 
+    private static final String NOT_WORKED = "the shared folder can't be worked";
     // ms; between looks while another lives: short beside the 1 s for an answer
     private static final long BESIDE_MS = 50;
     // ms; between looks for another: it takes longer to begin to serve
@@ -43,10 +45,15 @@
     // of all descriptors: for one before, as long as it has all the queries
     private static final double MOST = 0.75;
     private static final int LEAST = 24; // descriptors; fewer serve nobody
+    // tries, BESIDE_MS apart, to read what is out of use before it serves: 2 s of the 6 s that a start may take
+    private static final int FIRST_LOOKS = 40;
 
     /** A call that the others have not taken up yet. */
     private record Call(String hash, boolean out, Consumer<Boolean> answer) {}
 
+    /** What staff said of a node, and the folder has not taken yet. */
+    private record Unwritten(String id, boolean out) {}
+
     private final SharedFolder folder;
     private final EventLog log;
     private final long pid;
@@ -61,6 +68,7 @@
     // hashes; of calls that this process is taking up
     private final List<String> underWay = new ArrayList<>();
     private final List<Call> unconfirmed = new ArrayList<>();
+    private final Map<String, Unwritten> unwritten = new HashMap<>(); // by hashes; goes before the folder
     private Map<Long, ProcessState> others = new TreeMap<>();
     private ProcessState lastTold;
     private Here here;
@@ -77,33 +85,43 @@
      * @param ownOfEach descriptors that each process holds besides
      */
     Handover(Path shared, long pid, int allPlaces, int ownOfEach, EventLog log)
-        throws IOException, InterruptedException {
+        throws InterruptedException {
         this.pid = pid;
         this.allPlaces = allPlaces;
         this.ownOfEach = ownOfEach;
         this.log = log;
-        begunMs = System.currentTimeMillis();
         folder = new SharedFolder(shared, pid, log);
-        others = folder.others();
+        joinFolder();
+        try {
+            others = folder.others();
+        } catch (IOException e) {
+            log.trouble(NOT_WORKED, e);
+        }
+        begunMs = afterAll(others, System.currentTimeMillis());
         places = bound();
         tellOthers();
     }
 
-    /**
-     * The one of a proxy; null where its listening socket is its own, so that no other can be beside it, or
-     * where the folder can't be worked: then it serves alone, which is told.
-     */
+    /** The one of a proxy; null where its listening socket is its own, so that no other can be beside it. */
     static Handover of(ProxyStart start, EventLog log) throws InterruptedException {
+        return start.shared == null ? null
+            : new Handover(start.shared, ProcessHandle.current().pid(), start.places, start.ownSockets, log);
+    }
+
+    private void joinFolder() throws InterruptedException {
         try {
-            return start.shared == null ? null
-                : new Handover(start.shared, ProcessHandle.current().pid(), start.places, start.ownSockets,
-                    log);
+            folder.join();
         } catch (IOException e) {
-            log.trouble("no hand-over, the shared folder can't be worked", e);
-            return null;
+            log.trouble("no place in the shared folder yet", e);
         }
     }
 
+    /** Later than all others began, also where the time of day has been set back since. */
+    private static long afterAll(Map<Long, ProcessState> others, long nowMs) {
+        return others.values().stream().filter(Objects::nonNull).mapToLong(o -> o.begunMs() + 1)
+            .reduce(nowMs, Math::max);
+    }
+
     /** How many descriptors this process may hold for clients and nodes at its start. */
     int places() {
         return places;
@@ -120,11 +138,13 @@
      * Before this process accepts: the others hear that it serves, and what staff said is taken up. Whatever
      * is called to them from then on is confirmed by this process too. To be followed by its thread.
      */
-    void serves(Here by) throws IOException, InterruptedException {
+    void serves(Here by) throws InterruptedException {
         here = by;
-        servingMs = System.currentTimeMillis();
+        servingMs = Math.max(begunMs, System.currentTimeMillis());
         tellOthers();
-        look();
+        for (int i = 0; !looked() && i < FIRST_LOOKS; i++) {
+            Thread.sleep(BESIDE_MS);
+        }
         while (!underWay.isEmpty()) {
             told.take().run();
         }
@@ -141,7 +161,7 @@
                 answer.accept(false);
                 return;
             }
-            write(id, outOfUse);
+            unwritten.put(SharedFolder.hash(id), new Unwritten(id, outOfUse));
             unconfirmed.add(new Call(SharedFolder.hash(id), outOfUse, answer));
         }));
     }
@@ -162,11 +182,7 @@
                 for (Runnable next = first; next != null; next = told.poll()) {
                     next.run();
                 }
-                try {
-                    look();
-                } catch (IOException e) {
-                    log.trouble("the shared folder can't be worked", e);
-                }
+                looked();
             }
             folder.close();
         } catch (IOException | InterruptedException e) {
@@ -174,7 +190,19 @@
         }
     }
 
-    /** One look at the folder: who lives, what is out of use, how many descriptors are left. */
+    /** One look at the folder; whether it could be worked. What could not is tried again by the next. */
+    private boolean looked() throws InterruptedException {
+        joinFolder();
+        try {
+            look();
+            return true;
+        } catch (IOException e) {
+            log.trouble(NOT_WORKED, e);
+            return false;
+        }
+    }
+
+    /** Who lives, what is out of use, how many descriptors are left. */
     private void look() throws IOException {
         Set<Long> before = new TreeSet<>(others.keySet());
         others = folder.others();
@@ -187,19 +215,28 @@
             && o.getValue().after(self, o.getKey(), pid));
         places = bound();
         here.places(places);
-        Map<String, String> said = folder.out();
-        said.forEach((hash, id) -> {
-            if (!out.containsKey(hash) && !underWay.contains(hash)) {
+        writeAll();
+        takeUpAll(folder.out());
+        tellOthers();
+        confirm();
+    }
+
+    private void takeUpAll(SharedFolder.OutOfUse said) {
+        said.ids().forEach((hash, id) -> {
+            if (!out.containsKey(hash) && !isUndecided(hash)) {
                 takeUp(id, true, true, known -> {});
             }
         });
         for (String hash : List.copyOf(out.keySet())) {
-            if (!said.containsKey(hash) && !underWay.contains(hash)) {
+            if (!said.ids().containsKey(hash) && !said.unreadable().contains(hash) && !isUndecided(hash)) {
                 takeUp(out.get(hash), false, true, known -> {});
             }
         }
-        tellOthers();
-        confirm();
+    }
+
+    /** Whether what the folder says of a node is older than what staff said here. */
+    private boolean isUndecided(String hash) {
+        return underWay.contains(hash) || unwritten.containsKey(hash);
     }
 
     /** What the process does about a node, told back to this thread. */
@@ -217,11 +254,16 @@
         }));
     }
 
-    private void write(String id, boolean outOfUse) {
-        try {
-            folder.out(id, outOfUse);
-        } catch (IOException e) {
-            log.trouble("a node out of use can't be told to other processes", e);
+    /** Tells the folder what staff said; what it does not take is tried again with the next look. */
+    private void writeAll() {
+        for (Iterator<Unwritten> i = unwritten.values().iterator(); i.hasNext();) {
+            Unwritten next = i.next();
+            try {
+                folder.out(next.id, next.out);
+                i.remove();
+            } catch (IOException e) {
+                log.trouble("a node out of use can't be told to other processes yet", e);
+            }
         }
     }
 
@@ -232,7 +274,7 @@
             boolean all = others.values().stream()
                 .allMatch(o -> o == null || o.servingMs() == 0 || o.out().contains(c.hash) == c.out);
             boolean other = out.containsKey(c.hash) != c.out; // a later call says otherwise: this one is over
-            if (all || other) {
+            if (other || all && !unwritten.containsKey(c.hash)) {
                 i.remove();
                 c.answer.accept(true);
             }
@@ -268,11 +310,17 @@
         return new ProcessState(begunMs, servingMs, ending, holds(), new TreeSet<>(out.keySet()));
     }
 
-    private void tellOthers() throws IOException {
+    /** Tells what is news to them; what the folder does not take is tried again with the next look. */
+    private void tellOthers() {
         ProcessState now = state();
-        if (!now.equals(lastTold)) {
+        if (now.equals(lastTold)) {
+            return;
+        }
+        try {
             folder.tell(now);
             lastTold = now;
+        } catch (IOException e) {
+            log.trouble("other processes can't be told of this one yet", e);
         }
     }
 }
--- a/proxy/src/main/java/spurroad/program/SharedFolder.java
+++ b/proxy/src/main/java/spurroad/program/SharedFolder.java
@@ -1,10 +1,13 @@
 package spurroad.program;
 
 import java.io.IOException;
+import java.nio.ByteBuffer;
 import java.nio.channels.FileChannel;
 import java.nio.channels.FileLock;
 import java.nio.channels.OverlappingFileLockException;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.DirectoryIteratorException;
+import java.nio.file.DirectoryStream;
 import java.nio.file.Files;
 import java.nio.file.NoSuchFileException;
 import java.nio.file.Path;
@@ -12,17 +15,19 @@
 import java.nio.file.StandardOpenOption;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
-import java.util.stream.Stream;
 import spurroad.protocol.Members;
 import spurroad.transport.EventLog;
 
 /**
  * The folder that the processes of one proxy share: who lives, what each tells, and the cache nodes out of
- * use. Files are written whole and renamed. A process lives while it holds the lock on its file, which the
- * system gives back however it dies. One thread works it.
+ * use. Files are written whole, synced and renamed. A process lives while it holds the lock on its file, which
+ * the system gives back however it dies. Any call may fail for a while, as where the disk is full, and may be
+ * made again. One thread works it.
  */
 final class SharedFolder {
     private static final String LOCK = ".lock";
@@ -33,17 +38,32 @@
     private static final int TRIES = 100; // of a lock that a tidying neighbour may hold for a moment
     private static final long AGAIN_MS = 5; // ms; between them
 
+    /**
+     * The cache nodes out of use.
+     *
+     * @param ids by their hashes
+     * @param unreadable hashes of those whose files can't be read or believed, which says nothing of them
+     */
+    record OutOfUse(Map<String, String> ids, Set<String> unreadable) {}
+
     private final Path folder;
     private final long pid;
     private final EventLog log;
-    private final FileChannel own;
+    private FileChannel own; // null until its lock is held
 
-    /** Takes its place in the folder, which is made where it is missing. */
-    SharedFolder(Path folder, long pid, EventLog log) throws IOException, InterruptedException {
-        this.folder = Files.createDirectories(folder);
+    /** Works nothing yet; the folder may be missing. */
+    SharedFolder(Path folder, long pid, EventLog log) {
+        this.folder = folder;
         this.pid = pid;
         this.log = log;
-        own = locked(folder.resolve(pid + LOCK));
+    }
+
+    /** Takes its place in the folder, which is made where it is missing; does nothing the second time. */
+    void join() throws IOException, InterruptedException {
+        if (own == null) {
+            Files.createDirectories(folder);
+            own = locked(folder.resolve(pid + LOCK));
+        }
     }
 
     private static FileChannel locked(Path file) throws IOException, InterruptedException {
@@ -67,13 +87,21 @@
                 if (lives(lock)) {
                     others.put(other, state(folder.resolve(other + STATE)));
                 } else {
-                    Files.deleteIfExists(folder.resolve(other + STATE));
+                    clearAway(other);
                 }
             }
         }
         return others;
     }
 
+    /** What a process that has died told, and what it had not written whole. */
+    private void clearAway(long other) throws IOException {
+        Files.deleteIfExists(folder.resolve(other + STATE));
+        for (Path part : named("." + other + PART)) {
+            Files.deleteIfExists(part);
+        }
+    }
+
     private static long number(Path lock) {
         String name = lock.getFileName().toString();
         try {
@@ -87,7 +115,7 @@
      * Whether its lock is held; else it is cleared away. Never asked of its own: a close would give that
      * back.
      */
-    private static boolean lives(Path lock) throws IOException {
+    private boolean lives(Path lock) {
         try (FileChannel channel = FileChannel.open(lock, StandardOpenOption.WRITE);
             FileLock free = channel.tryLock()) {
             if (free != null) {
@@ -98,11 +126,20 @@
             return false;
         } catch (OverlappingFileLockException e) {
             return true; // held within this process: by a proxy beside this one
+        } catch (IOException e) {
+            log.trouble("a lock can't be looked at, its process is taken to live", e);
+            return true;
         }
     }
 
-    private ProcessState state(Path file) throws IOException {
-        String text = text(file);
+    private ProcessState state(Path file) {
+        String text;
+        try {
+            text = text(file);
+        } catch (IOException e) {
+            log.trouble("a shared file can't be read", e);
+            return null;
+        }
         ProcessState state = text == null ? null : ProcessState.read(text);
         if (text != null && state == null) {
             log.trouble("a shared file is not believed", file);
@@ -115,26 +152,39 @@
         write(pid + STATE, state.text());
     }
 
-    /** The ids of cache nodes out of use, by their hashes. */
-    Map<String, String> out() throws IOException {
-        Map<String, String> out = new HashMap<>();
+    /** The cache nodes out of use. */
+    OutOfUse out() throws IOException {
+        OutOfUse out = new OutOfUse(new HashMap<>(), new HashSet<>());
         for (Path file : named("")) {
             String name = file.getFileName().toString();
             if (name.startsWith(OUT) && !name.endsWith(PART)) {
-                String hash = name.substring(OUT.length());
-                String text = text(file);
-                String[] lines = text == null ? null : text.split("\n", -1);
-                if (lines != null && lines.length == 3 && lines[0].equals(OUT_FORM)
-                    && hash(lines[1]).equals(hash)) {
-                    out.put(hash, lines[1]);
-                } else if (text != null) {
-                    log.trouble("a shared file is not believed", file);
-                }
+                read(file, name.substring(OUT.length()), out);
             }
         }
         return out;
     }
 
+    private void read(Path file, String hash, OutOfUse into) {
+        String text;
+        try {
+            text = text(file);
+        } catch (IOException e) {
+            log.trouble("a shared file can't be read", e);
+            into.unreadable.add(hash);
+            return;
+        }
+        if (text == null) {
+            return; // given back since the folder was listed
+        }
+        String[] lines = text.split("\n", -1);
+        if (lines.length == 3 && lines[0].equals(OUT_FORM) && hash(lines[1]).equals(hash)) {
+            into.ids.put(hash, lines[1]);
+        } else {
+            log.trouble("a shared file is not believed", file);
+            into.unreadable.add(hash);
+        }
+    }
+
     void out(String id, boolean out) throws IOException {
         if (out) {
             write(OUT + hash(id), OUT_FORM + "\n" + id + "\n");
@@ -149,8 +199,14 @@
 
     private List<Path> named(String end) throws IOException {
         List<Path> found = new ArrayList<>();
-        try (Stream<Path> files = Files.list(folder)) {
-            files.filter(f -> f.getFileName().toString().endsWith(end)).forEach(found::add);
+        try (DirectoryStream<Path> files = Files.newDirectoryStream(folder)) {
+            for (Path file : files) {
+                if (file.getFileName().toString().endsWith(end)) {
+                    found.add(file);
+                }
+            }
+        } catch (DirectoryIteratorException e) {
+            throw e.getCause();
         }
         return found;
     }
@@ -166,13 +222,22 @@
 
     private void write(String name, String text) throws IOException {
         Path part = folder.resolve(name + "." + pid + PART);
-        Files.writeString(part, text);
+        try (FileChannel channel = FileChannel.open(part, StandardOpenOption.CREATE,
+            StandardOpenOption.TRUNCATE_EXISTING, StandardOpenOption.WRITE)) {
+            ByteBuffer bytes = ByteBuffer.wrap(text.getBytes(StandardCharsets.UTF_8));
+            while (bytes.hasRemaining()) {
+                channel.write(bytes);
+            }
+            channel.force(true); // a file that was renamed before its bytes were there came back empty
+        }
         Files.move(part, folder.resolve(name), StandardCopyOption.ATOMIC_MOVE,
             StandardCopyOption.REPLACE_EXISTING);
     }
 
     /** Gives its place up; else the end of the process does. */
     void close() throws IOException {
-        own.close();
+        if (own != null) {
+            own.close();
+        }
     }
 }
