Failing test: one failed call and other proxies are not heard any more

Datagrams.run ends for good with the first IOException that is no BindException: open (ENFILE, ENOBUFS), bind or a receive that fails once.

--- a/proxy/src/main/java/spurroad/transport/Datagrams.java
+++ b/proxy/src/main/java/spurroad/transport/Datagrams.java
@@ -21,7 +21,13 @@
     private static final int MOST_BYTES = 256; // bytes; the longest message that proxies may send one another
     private static final long AGAIN_MS = 500; // ms; until the address is tried again: upgrades take seconds
 
+    /** Makes a socket for messages that is not bound yet. */
+    interface Opener {
+        DatagramChannel open() throws IOException;
+    }
+
     private final EventLog log;
+    private final Opener opener;
     private final List<InetSocketAddress> proxies;
     private final Set<SocketAddress> known;
     private final int own;
@@ -36,7 +42,13 @@
      * @param heard told each message, on this one's thread
      */
     public Datagrams(List<InetSocketAddress> proxies, int own, EventLog log, Consumer<byte[]> heard) {
+        this(proxies, own, log, heard, () -> DatagramChannel.open(StandardProtocolFamily.INET));
+    }
+
+    /** One whose sockets are made another way; for tests of calls that fail. */
+    Datagrams(List<InetSocketAddress> proxies, int own, EventLog log, Consumer<byte[]> heard, Opener opener) {
         this.log = log;
+        this.opener = opener;
         this.proxies = proxies;
         this.own = own;
         this.heard = heard;
@@ -83,7 +95,7 @@
     }
 
     private void open(Selector selector) throws IOException, InterruptedException {
-        DatagramChannel opened = DatagramChannel.open(StandardProtocolFamily.INET);
+        DatagramChannel opened = opener.open();
         try {
             opened.bind(proxies.get(own)).configureBlocking(false);
             opened.register(selector, SelectionKey.OP_READ);
