A call that fails once costs one try: binds, selectors, other proxies' messages, blanks, a stopped log reader

Change: sockets and selectors that a start needs are opened again for up to 2 s; the socket to other proxies is opened again half a second after whatever fails there; a line without words is no answer; log lines are written by a thread of their own, dropped and counted where nobody reads them, and written out before the process ends.

--- a/proxy/src/main/java/spurroad/program/Main.java
+++ b/proxy/src/main/java/spurroad/program/Main.java
@@ -21,6 +21,7 @@
 public final class Main {
     private static final String USAGE = "usage: spurroad serve | rehearse | wirehost";
     private static final String LOG_PROPERTY = "spurroad.log"; // "json" for one JSON object a line
+    private static final long LAST_LINES_MS = 200; // ms; for the log to be written
     // exit codes
     private static final int FAILED = 1;
     private static final int MISUSED = 2;
@@ -51,9 +52,12 @@
         }
         // both from the first moment: the default is to end, and under load this thread may be late to say
         // otherwise
+        EventLog log = new EventLog();
         Life<Service> life = new Life<>(Service::end);
         Runtime.getRuntime().addShutdownHook(new Thread(() -> {
-            if (life.end()) {
+            boolean served = life.end();
+            log.flush(LAST_LINES_MS);
+            if (served) {
                 Runtime.getRuntime().halt(0);
             }
         }));
@@ -63,7 +67,6 @@
         try {
             ProxyStart start = ProxyStart.ofEnvironment(System.getenv());
             try {
-                EventLog log = new EventLog();
                 // the first line takes longest, and no query is to wait for it
                 log.event("starting", start.name);
                 Threads threads = new Threads(log);
--- a/proxy/src/main/java/spurroad/protocol/MetaReply.java
+++ b/proxy/src/main/java/spurroad/protocol/MetaReply.java
@@ -19,7 +19,7 @@
     /** Reads what a node says to the query with the id; an answer to another query can't be used. */
     public static Reply read(ByteSource in, String id) throws IOException {
         String line = in.needLine(MetaCommand.MOST_LINE);
-        String[] tokens = line.split(" ");
+        String[] tokens = words(line);
         LoadReport load = load(tokens);
         CacheNote note = note(tokens);
         switch (tokens[0]) {
@@ -57,7 +57,7 @@
     public static Reply readProbe(ByteSource in) throws IOException {
         Map<String, String> report = new LinkedHashMap<>();
         for (int i = 0; i < MOST_STATS; i++) {
-            String[] tokens = in.needLine(MetaCommand.MOST_LINE).split(" ");
+            String[] tokens = words(in.needLine(MetaCommand.MOST_LINE));
             if (tokens[0].equals("STAT") && tokens.length > 2) {
                 report.put(tokens[1], tokens[2]);
             } else if (tokens[0].equals("END")) {
@@ -69,6 +69,12 @@
         throw new ProtocolException("an endless report");
     }
 
+    /** The words of a line; one that is empty where the line has none. */
+    private static String[] words(String line) {
+        String[] words = line.split(" ");
+        return words.length == 0 ? new String[] {""} : words;
+    }
+
     /** The command that asks a cache node for its load. */
     public static byte[] probe() {
         return PROBE;
--- a/proxy/src/main/java/spurroad/routing/Decider.java
+++ b/proxy/src/main/java/spurroad/routing/Decider.java
@@ -109,6 +109,7 @@
     private static final long NS_PER_US = 1_000L;
     private static final int MOST_LISTED = 8192; // ids; that staff may name, those of a year of releases
     private static final int MOST_WORDS = 4096; // of other proxies, not heard yet: further ones are lost
+    private static final long LAST_LINES_MS = 200; // ms; for the log to be written
     private static final int MODULE_FAILED = 70; // exit code; the usual one for a fault of the program itself
 
     private final Balance balance;
@@ -205,6 +206,7 @@
             }
         } catch (RuntimeException | Error | InterruptedException e) {
             log.trouble("the module failed, the proxy ends", EventLog.where(e));
+            log.flush(LAST_LINES_MS);
             Runtime.getRuntime().halt(MODULE_FAILED);
         }
         stalls.end();
--- a/proxy/src/main/java/spurroad/transport/Datagrams.java
+++ b/proxy/src/main/java/spurroad/transport/Datagrams.java
@@ -1,7 +1,6 @@
 package spurroad.transport;
 
 import java.io.IOException;
-import java.net.BindException;
 import java.net.InetSocketAddress;
 import java.net.SocketAddress;
 import java.net.StandardProtocolFamily;
@@ -75,35 +74,39 @@
     }
 
     /**
-     * Hears the others, from when its address is free: at an upgrade the process before this one holds it.
+     * Hears the others, from when its address is free: at an upgrade the process before this one holds it. A
+     * call that fails costs the messages until the socket is opened again, and nothing else.
      */
     @Override
     public void run() {
-        try (Selector selector = Selector.open()) {
-            while (channel == null) {
-                open(selector);
+        while (true) {
+            try {
+                hearUntilItFails();
+            } catch (IOException e) {
+                log.trouble("other proxies are not heard for now", proxies.get(own) + ", " + e);
             }
-            ByteBuffer bytes = ByteBuffer.allocate(MOST_BYTES + 1); // one more shows what is too long
-            while (true) {
-                selector.select();
-                selector.selectedKeys().clear();
-                hear(bytes);
+            try {
+                Thread.sleep(AGAIN_MS);
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt(); // nobody does
+                return;
             }
-        } catch (IOException | InterruptedException e) {
-            log.trouble("other proxies are not heard any more", EventLog.where(e));
         }
     }
 
-    private void open(Selector selector) throws IOException, InterruptedException {
-        DatagramChannel opened = opener.open();
-        try {
+    private void hearUntilItFails() throws IOException {
+        try (DatagramChannel opened = opener.open(); Selector selector = Selector.open()) {
             opened.bind(proxies.get(own)).configureBlocking(false);
             opened.register(selector, SelectionKey.OP_READ);
             channel = opened;
-        } catch (BindException e) {
-            opened.close();
-            log.trouble("other proxies are not heard yet", proxies.get(own) + ", " + e.getMessage());
-            Thread.sleep(AGAIN_MS);
+            ByteBuffer bytes = ByteBuffer.allocate(MOST_BYTES + 1); // one more shows what is too long
+            while (opened.isOpen()) {
+                selector.select();
+                selector.selectedKeys().clear();
+                hear(bytes);
+            }
+        } finally {
+            channel = null;
         }
     }
 
--- a/proxy/src/main/java/spurroad/transport/EventLog.java
+++ b/proxy/src/main/java/spurroad/transport/EventLog.java
@@ -4,7 +4,10 @@
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 
-/** Log lines for staff: one line a kind and second at most; what was left out is counted on the next. */
+/**
+ * Log lines for staff: one line a kind and second at most; what was left out is counted on the next. Nobody
+ * who logs waits for them to be written.
+ */
 public final class EventLog {
     // ns; staff read no faster, and a fault repeats itself
     private static final long APART_NS = 1_000_000_000L;
@@ -15,7 +18,6 @@
         private boolean any;
     }
 
-    private final System.Logger log = System.getLogger("spurroad");
     private final Map<String, Kind> kinds = new ConcurrentHashMap<>();
 
     /** Something that staff may want to see; the kind is a fixed text, the rest tells of this one case. */
@@ -35,7 +37,9 @@
     }
 
     /** Waits until all that was told is written, for so long at most; for a process that ends at once. */
-    public void flush(long mostMs) {}
+    public void flush(long mostMs) {
+        LogWriter.SHARED.flush(mostMs);
+    }
 
     private void write(Level level, String kind, Object about) {
         Kind k = kinds.computeIfAbsent(kind, x -> new Kind());
@@ -51,6 +55,6 @@
             k.lastAt = now;
             k.any = true;
         }
-        log.log(level, kind + ": " + about + (leftOut > 0 ? " (and " + leftOut + " more)" : ""));
+        LogWriter.SHARED.add(level, kind + ": " + about + (leftOut > 0 ? " (and " + leftOut + " more)" : ""));
     }
 }
--- a/proxy/src/main/java/spurroad/transport/Listener.java
+++ b/proxy/src/main/java/spurroad/transport/Listener.java
@@ -100,9 +100,18 @@
     }
 
     private static ServerSocketChannel bound(InetSocketAddress at) throws IOException {
+        return Opening.retried(() -> boundOnce(at));
+    }
+
+    private static ServerSocketChannel boundOnce(InetSocketAddress at) throws IOException {
         ServerSocketChannel socket = ServerSocketChannel.open();
-        socket.setOption(StandardSocketOptions.SO_REUSEADDR, true);
-        return socket.bind(at, BACKLOG);
+        try {
+            socket.setOption(StandardSocketOptions.SO_REUSEADDR, true);
+            return socket.bind(at, BACKLOG);
+        } catch (IOException e) {
+            socket.close();
+            throw e;
+        }
     }
 
     /** The port that it listens at. */
--- a/proxy/src/main/java/spurroad/transport/Loop.java
+++ b/proxy/src/main/java/spurroad/transport/Loop.java
@@ -39,6 +39,7 @@
     private static final int CHUNK_BYTES = 64 * 1024;
     private static final long NS_PER_MS = 1_000_000L;
     private static final long LEAST_WAIT_NS = 1_000_000L; // ns; what is there sooner may have stood before
+    private static final long LAST_LINES_MS = 200; // ms; for the log to be written
     private static final int LOOP_FAILED = 70; // exit code; the usual one for a fault of the program itself
 
     private record Due(TreeSet<Due> timers, long at, long number,
@@ -84,7 +85,7 @@
         this.clock = clock;
         selectedAt = arrivedAt = clock.now();
         try {
-            selector = Selector.open();
+            selector = Opening.retried(Selector::open);
         } catch (IOException e) {
             throw new UncheckedIOException("no selector", e);
         }
@@ -155,6 +156,7 @@
             selector.close();
         } catch (IOException | Error e) {
             log.trouble("the loop of sockets failed, the proxy ends", EventLog.where(e));
+            log.flush(LAST_LINES_MS);
             Runtime.getRuntime().halt(LOOP_FAILED);
         }
     }
--- a/proxy/src/test/java/spurroad/transport/EventLogTest.java
+++ b/proxy/src/test/java/spurroad/transport/EventLogTest.java
@@ -57,9 +57,11 @@
             teller.start();
             assertTrue(told.await(PATIENCE_S, TimeUnit.SECONDS), "waited for the log's reader");
             blocked.open.countDown();
-            log.event("the last", "line");
             log.flush(PATIENCE_S * 1_000);
             assertEquals(blocked.lines.get(0), "kind 0: about");
+            assertTrue(blocked.lines.stream().anyMatch(line -> line.startsWith("log lines were dropped")));
+            log.event("the last", "line");
+            log.flush(PATIENCE_S * 1_000);
             assertTrue(blocked.lines.get(blocked.lines.size() - 1).startsWith("the last: line"),
                 blocked.lines.get(blocked.lines.size() - 1));
         } finally {
