Failing test: a stepped clock makes a cold cache node warm, or keeps it cold for an hour

Seen: a node starts anew; its boot_ms is an hour back (the clock was set back before it started): it gets 0.55 of the requests at once, where its warm-up of 600 s allows a tenth of its part: the slow-start budget is broken. With boot_ms an hour ahead it gets 0.03 for an hour, warm or not. Rows without a step pass. Line at fault: Node.warmth, now minus a time of day that another machine read, whatever this proxy knows of when the start can have been.

--- /dev/null
+++ b/proxy/src/test/java/spurroad/program/ClockStepTest.java
@@ -0,0 +1,72 @@
+package spurroad.program;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertTrue;
+
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+import spurroad.Peers;
+import spurroad.Peers.Client;
+import spurroad.Peers.Peer;
+import spurroad.start.ProxyStart;
+
+/**
+ * The time of day is stepped while the proxy runs, and cache nodes tell their starts by it. How cold one is
+ * goes by how long ago it can have started.
+ */
+public class ClockStepTest {
+    private static final long HOUR_MS = 3_600_000;
+    private static final int REQUESTS = 300;
+    private static final double START_CAPACITY = 0.1;
+
+    private static String chunk(String line) {
+        return Integer.toHexString(line.length() + 1) + "\r\n" + line + "\n\r\n";
+    }
+
+    @DataProvider
+    Object[][] steps() {
+        // its start as told, from now; the time to warm up; when requests are sent; its part of them
+        return new Object[][] {{0, 600_000, 0, 0, 0.25}, {-HOUR_MS, 600_000, 0, 0, 0.25},
+            {-3_000, 2_000, 0, 0, 0.25}, {HOUR_MS, 600_000, 0, 0, 0.25}, {HOUR_MS, 500, 1_000, 0.3, 0.7},
+            {0, 500, 1_000, 0.3, 0.7}};
+    }
+
+    @Test(dataProvider = "steps")
+    public void aNodeThatStartsAnewIsColdForItsTime(long startedMs, long coldMs, long afterMs, double least,
+                                                    double most)
+        throws Exception {
+        try (Peer steady = new Peer(ServiceTest.hit("v"));
+            Peer restarted = new Peer(ServiceTest.hit("v"));
+            Peer discovery = new Peer(message -> ServiceTest.WATCH + chunk("")
+                + chunk(Peers.list(2, true, Peers.target("s-0", "m1", steady.port, "active", 0),
+                    Peers.target("s-1", "m1", restarted.port, "active", 0))))) {
+            String settings = Peers.start(discovery.port, 256,
+                Peers.list(1, true, Peers.target("s-0", "m1", steady.port, "active", 0),
+                    Peers.target("s-1", "m1", restarted.port, "active", 0)));
+            Service service = ServiceTest.service(new ProxyStart(settings.replace("\"tickUs\"",
+                "\"obligations\":{\"startCapacity\":" + START_CAPACITY + ",\"coldUs\":" + coldMs * 1_000
+                    + "},\"tickUs\"")));
+            try (Client client = new Client(service.port())) {
+                ask(client, "before");
+                discovery.say(chunk(Peers.list(3, false, Peers.target("s-1", "m1", restarted.port, "active",
+                    System.currentTimeMillis() + startedMs))));
+                Thread.sleep(200 + afterMs); // until it is taken up
+                restarted.heard.clear();
+                ask(client, "after");
+            }
+            double part = (double) restarted.heard.stream().filter(m -> m.startsWith("mg")).count()
+                / REQUESTS;
+            assertTrue(part >= least && part <= most, "got a part of " + part);
+            ServiceTest.ending(service).join();
+        }
+    }
+
+    private static void ask(Client client, String key) throws Exception {
+        for (int i = 0; i < REQUESTS; i++) {
+            String id = key + i;
+            client.say("mg " + id + " v O" + id + " Pc=read,t=acme,d=9000\r\n");
+            assertEquals(client.line(), "VA 1 O" + id);
+            client.line();
+        }
+    }
+}
