How cold a node is goes by when its start can have been, not by its machine's time of day

Ruled out: this proxy's own clock (Clock is anchored once and then monotonic; waits, windows, graces and deadlines all count by it); a new process reads the time of day once. Change: NodeStartTimes puts a start that is news between the last word of discovery without it and now; an id of a start keeps its time. A list at a process's start is believed as far as it tells (nothing was heard before it). Open: a clock that is ahead when a process starts makes starts before that look older; nothing in a list tells.

--- a/proxy/src/main/java/spurroad/routing/Decider.java
+++ b/proxy/src/main/java/spurroad/routing/Decider.java
@@ -132,6 +132,7 @@
     private List<Runnable> forLoop = new ArrayList<>(); // the module's: for the loop after some messages
     private final Map<NodeId, Boolean> everListed = new LinkedHashMap<>(); // whether as a cache node
     private final Set<NodeId> byHand = new HashSet<>();
+    private final NodeStartTimes starts = new NodeStartTimes();
     private StartFigures figures;
     private volatile Standings standings = new Standings(0, new long[0]);
     private Follow follow;
@@ -371,11 +372,23 @@
 
     // ---- told by the list
 
-    /** A list came from discovery. */
-    public void listed(Members list) {
+    /** The list that this process was started with; how old it is nobody tells. */
+    public void listed(Members known) {
+        listed(known, NodeStartTimes.NEVER);
+    }
+
+    /**
+     * A list came from discovery.
+     *
+     * @param heardBeforeNs when discovery spoke last before it, Unix nanoseconds
+     */
+    void listed(Members list, long heardBeforeNs) {
         mailbox.tell(() -> {
+            long now = clock.now();
+            List<Member> members = list.members().stream()
+                .map(m -> new Member(starts.inOwnTime(m.entry(), heardBeforeNs, now), m.endpoint())).toList();
             Set<NodeId> named = new HashSet<>();
-            for (Member m : list.members()) {
+            for (Member m : members) {
                 remember(m);
                 if (m.entry().phase() != Phase.GONE) {
                     if (m.entry().startedNs() > 0) {
@@ -390,7 +403,7 @@
             if (list.whole()) {
                 Set.copyOf(nodes.keySet()).stream().filter(id -> !named.contains(id)).forEach(this::gone);
             }
-            balance.listed(clock.now(), list.members().stream().map(Member::entry).toList(), list.whole(),
+            balance.listed(clock.now(), members.stream().map(Member::entry).toList(), list.whole(),
                 fresh());
             carryOut();
         });
--- a/proxy/src/main/java/spurroad/routing/ListWatch.java
+++ b/proxy/src/main/java/spurroad/routing/ListWatch.java
@@ -36,6 +36,7 @@
     // the loop's
     private InetSocketAddress discovery;
     private long revision;
+    private long heardAt = NodeStartTimes.NEVER; // when discovery spoke last, be it of no change
     private Watch current;
     private Watch former;
     private Runnable firstList = NOTHING;
@@ -131,10 +132,11 @@
             revision = list.revision();
             log.event("the list changed", "revision " + revision + ", " + list.members().size() + " entries"
                 + (list.whole() ? ", whole" : ""));
-            decider.listed(list);
+            decider.listed(list, heardAt);
             firstList.run();
             firstList = NOTHING;
         }
+        heardAt = loop.now();
     }
 
     /**
--- /dev/null
+++ b/proxy/src/test/java/spurroad/routing/NodeStartTimesTest.java
@@ -0,0 +1,37 @@
+package spurroad.routing;
+
+import static org.testng.Assert.assertEquals;
+
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+import spurroad.model.CellId;
+import spurroad.model.KindId;
+import spurroad.model.NodeEntry;
+import spurroad.model.NodeId;
+import spurroad.model.Phase;
+import spurroad.model.ZoneId;
+
+public class NodeStartTimesTest {
+    private static final long NOW = 1_000_000;
+
+    private static NodeEntry entry(long startedNs) {
+        return new NodeEntry(new NodeId(7), new KindId(0), new ZoneId(0), new CellId(0), startedNs, 1,
+            Phase.READY);
+    }
+
+    @DataProvider
+    Object[][] starts() {
+        // as told, when discovery spoke before, in own time
+        return new Object[][] {{0, 900_000, 0}, {950_000, 900_000, 950_000}, {20, 900_000, 900_000},
+            {5_000_000, 900_000, NOW}, {20, NodeStartTimes.NEVER, 20},
+            {5_000_000, NodeStartTimes.NEVER, NOW}};
+    }
+
+    @Test(dataProvider = "starts")
+    public void aStartLiesBetweenTheLastWordWithoutItAndNow(long toldNs, long heardBeforeNs, long ownNs) {
+        NodeStartTimes starts = new NodeStartTimes();
+        assertEquals(starts.inOwnTime(entry(toldNs), heardBeforeNs, NOW), entry(ownNs));
+        assertEquals(starts.inOwnTime(entry(toldNs), NOW, 2 * NOW), entry(ownNs), "told again");
+        assertEquals(starts.inOwnTime(entry(toldNs + 1), NOW, 2 * NOW).startedNs() >= NOW, true, "anew");
+    }
+}
