A randomized soak of real processes, and what it shows: interrupted calls break four rules at once

Cause: SocketChannelImpl returns -3 (IOStatus.INTERRUPTED) from a read or write that was interrupted on a non-blocking socket; Connection.read takes every negative number for the end, flush adds -3 to its place, so that three bytes go out again and then the loop spins.

--- /dev/null
+++ b/cli/src/main/java/spurroad/cli/SoakCommand.java
@@ -0,0 +1,74 @@
+package spurroad.cli;
+
+import java.io.IOException;
+import java.io.PrintWriter;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.Callable;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Model.CommandSpec;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Spec;
+import spurroad.rig.soak.PlantedFault;
+import spurroad.rig.soak.SoakResult;
+import spurroad.rig.soak.SoakRun;
+import spurroad.rig.soak.SoakSettings;
+
+/** Plays random troubles that overlap against real proxy processes, and holds them to their invariants. */
+@Command(name = "soak", mixinStandardHelpOptions = true, description = {
+    "Plays random troubles, two or three at a time, against real proxy processes on loopback and holds them to",
+    "their invariants by what crossed the sockets. A seed repeats its plan. Needs gcc and perl."})
+final class SoakCommand implements Callable<Integer> {
+    @Option(names = "--seed", paramLabel = "N", split = ",",
+        description = "One run for each (${DEFAULT-VALUE}).")
+    private List<Long> seeds = List.of(1L);
+    @Option(names = "--seconds", paramLabel = "N", description = "Of each run (${DEFAULT-VALUE}).")
+    private int seconds = 40;
+    @Option(names = "--proxies", paramLabel = "N", description = "Real proxies (${DEFAULT-VALUE}).")
+    private int proxies = 10;
+    @Option(names = "--nodes", paramLabel = "N", description = "Cache nodes (${DEFAULT-VALUE}).")
+    private int nodes = 8;
+    @Option(names = "--plant", paramLabel = "FAULT",
+        description = "Breaks this on purpose; the run then fails unless it is seen: ${COMPLETION-CANDIDATES}.")
+    private PlantedFault planted = PlantedFault.NONE;
+    @Option(names = "--plan", description = "Prints the plan and plays nothing.")
+    private boolean planOnly;
+    @Spec
+    private CommandSpec spec;
+
+    @Override
+    public Integer call() throws IOException, InterruptedException {
+        PrintWriter out = spec.commandLine().getOut();
+        int code = 0;
+        for (long seed : seeds) {
+            code = Math.max(code, play(new SoakSettings(seed, seconds, proxies, nodes, planted), out));
+        }
+        return code;
+    }
+
+    private int play(SoakSettings settings, PrintWriter out) throws IOException, InterruptedException {
+        Path root = Path.of(System.getProperty("spurroad.home", ".")).toAbsolutePath().normalize();
+        Path folder = Files.createTempDirectory("soak");
+        try (SoakRun run = new SoakRun(settings, root, folder, line -> {})) {
+            if (planOnly) {
+                run.plan().forEach(out::println);
+                return 0;
+            }
+            SoakResult result = run.play();
+            boolean asWanted = planted == PlantedFault.NONE ? result.passed()
+                : result.counts().containsKey(planted.broken());
+            out.println(
+                "seed " + settings.seed() + ": " + result.requests() + " requests " + result.ends() + ", "
+                    + result.attempts() + " attempts, own threads late by " + result.mostLateMs()
+                    + " ms at most");
+            result.violations().forEach(out::println);
+            out.println("seed " + settings.seed() + ": "
+                + (planted == PlantedFault.NONE ? "" : "planted " + planted + ", ")
+                + (result.passed() ? "all invariants held" : "VIOLATED " + result.counts()) + "; logs in "
+                + folder);
+            out.flush();
+            return asWanted ? 0 : Spurroad.FAILED;
+        }
+    }
+}
--- a/cli/src/main/java/spurroad/cli/Spurroad.java
+++ b/cli/src/main/java/spurroad/cli/Spurroad.java
@@ -12,7 +12,8 @@
     sortOptions = false,
     description = "A proxy that spreads keys over cache nodes before a slow origin, and what belongs to it.",
     subcommands = {ServeCommand.class, CheckCommand.class, ExplainCommand.class, RigCommand.class,
-        ScaleCommand.class, FleetCommand.class, Version.class, AutoComplete.GenerateCompletion.class},
+        ScaleCommand.class, FleetCommand.class, SoakCommand.class, Version.class,
+        AutoComplete.GenerateCompletion.class},
     exitCodeListHeading = "%nExit codes:%n",
     exitCodeList = {" 0:done; all rules kept", " 1:it failed, or a rule was broken",
         " 2:wrong use, or a file that is not as it should be", " 3:a run that is worth nothing, as it says"})
--- a/proxy/src/main/java/spurroad/program/ProcessState.java
+++ b/proxy/src/main/java/spurroad/program/ProcessState.java
@@ -10,8 +10,8 @@
  * What one process tells the others that share its listening socket; written whole, and believed only if it
  * is.
  *
- * @param begunMs orders processes: when it began, Unix time in milliseconds, or later where another that lives
- *     told a later one, as the time of day may be set back
+ * @param begunMs orders processes: when it began, Unix time in milliseconds, or later where another that
+ *     lives told a later one, as the time of day may be set back
  * @param servingMs since when it serves, the same; zero where it does not yet
  * @param ending whether it was told to end
  * @param places descriptors for clients and nodes that it may hold, or holds where that is more
--- a/proxy/src/main/java/spurroad/program/SharedFolder.java
+++ b/proxy/src/main/java/spurroad/program/SharedFolder.java
@@ -25,9 +25,9 @@
 
 /**
  * The folder that the processes of one proxy share: who lives, what each tells, and the cache nodes out of
- * use. Files are written whole, synced and renamed. A process lives while it holds the lock on its file, which
- * the system gives back however it dies. Any call may fail for a while, as where the disk is full, and may be
- * made again. One thread works it.
+ * use. Files are written whole, synced and renamed. A process lives while it holds the lock on its file,
+ * which the system gives back however it dies. Any call may fail for a while, as where the disk is full, and
+ * may be made again. One thread works it.
  */
 final class SharedFolder {
     private static final String LOCK = ".lock";
--- a/proxy/src/main/java/spurroad/routing/NodeStartTimes.java
+++ b/proxy/src/main/java/spurroad/routing/NodeStartTimes.java
@@ -6,12 +6,13 @@
 import spurroad.model.NodeId;
 
 /**
- * When listed nodes started, in this process's own time. A list tells the time of day at which a node started,
- * as some machine's clock had it; such a clock may be stepped by seconds or by an hour. A start that was not
- * listed before cannot lie before the last moment at which discovery still told of the state without it, nor
- * after the moment at which it was told.
+ * When listed nodes started, in this process's own time. A list tells the time of day at which a node
+ * started, as some machine's clock had it; such a clock may be stepped by seconds or by an hour. A start that
+ * was not listed before cannot lie before the last moment at which discovery still told of the state without
+ * it, nor after the moment at which it was told.
  *
- * <p>Decisions compare the times as ids of starts, so one that was told before keeps its time. One thread only.
+ * <p>Decisions compare the times as ids of starts, so one that was told before keeps its time. One thread
+ * only.
  */
 final class NodeStartTimes {
     /** Before anything was heard: any start may lie as far back as it tells. */
@@ -33,8 +34,8 @@
     /**
      * The entry with the start of its node in this process's time.
      *
-     * @param heardBeforeNs when discovery spoke last before this list, Unix nanoseconds; {@link #NEVER} where it
-     *     has not
+     * @param heardBeforeNs when discovery spoke last before this list, Unix nanoseconds; {@link #NEVER} where
+     *     it has not
      */
     NodeEntry inOwnTime(NodeEntry told, long heardBeforeNs, long nowNs) {
         long toldNs = told.startedNs();
--- a/proxy/src/main/java/spurroad/transport/LogWriter.java
+++ b/proxy/src/main/java/spurroad/transport/LogWriter.java
@@ -6,8 +6,8 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * Writes the log lines of this process, on a thread of its own: whoever logs never waits for whoever reads the
- * log. What a reader that has stopped leaves no room for is dropped and counted.
+ * Writes the log lines of this process, on a thread of its own: whoever logs never waits for whoever reads
+ * the log. What a reader that has stopped leaves no room for is dropped and counted.
  */
 final class LogWriter {
     /** The one of this process, as its log is one. */
--- a/proxy/src/main/java/spurroad/transport/Opening.java
+++ b/proxy/src/main/java/spurroad/transport/Opening.java
@@ -4,8 +4,8 @@
 import java.io.InterruptedIOException;
 
 /**
- * Opens what a process can't start without: sockets, selectors. The system may refuse them for a moment (ENFILE,
- * ENOBUFS, an address that is still being given back), which is no reason not to start.
+ * Opens what a process can't start without: sockets, selectors. The system may refuse them for a moment
+ * (ENFILE, ENOBUFS, an address that is still being given back), which is no reason not to start.
  */
 final class Opening {
     private static final long MOST_MS = 2_000; // ms; of the 6 s and more that a start may take
--- /dev/null
+++ b/rig/src/main/java/spurroad/rig/soak/FaultProxy.java
@@ -0,0 +1,179 @@
+package spurroad.rig.soak;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.Random;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Function;
+
+/**
+ * What stands between one proxy and one server: tells the oracle of each attempt as it comes, passes bytes on
+ * in both directions, and can lose, break, delay or cut them into pieces. Planted faults are put here too.
+ */
+final class FaultProxy {
+    private static final int CHUNK_BYTES = 8_192;
+    private static final int PIECE_BYTES = 7;
+    private static final long CUT_LOOK_MS = 20;
+    private static final long LATE_MS = 600; // ms; of a planted late attempt
+    private static final double PLANTED = 0.1; // of what a planted fault may happen to
+    private static final int TOO_MUCH_MS = 1_000;
+
+    private final int proxy;
+    private final StandInServer server;
+    private final Oracle oracle;
+    private final PlantedFault planted;
+    private final Function<String, FaultProxy> others; // those of the same proxy, by the names of their servers
+    private final Random random;
+    private final Set<Socket> open = ConcurrentHashMap.newKeySet();
+    private final ServerSocket listening;
+    private volatile boolean cut;
+    private volatile boolean pieces;
+
+    FaultProxy(int proxy, StandInServer server, Oracle oracle, PlantedFault planted,
+               Function<String, FaultProxy> others, long seed)
+        throws IOException {
+        this.proxy = proxy;
+        this.server = server;
+        this.oracle = oracle;
+        this.planted = planted;
+        this.others = others;
+        random = new Random(seed);
+        listening = Work.listen("fault proxy", 0, this::serve);
+    }
+
+    int port() {
+        return listening.getLocalPort();
+    }
+
+    /** Nothing passes while it is cut, and nobody is told; what is open then breaks when it is over. */
+    void cut(boolean on) {
+        cut = on;
+        if (!on) {
+            resetAll();
+        }
+    }
+
+    /** Answers come in small pieces. */
+    void pieces(boolean on) {
+        pieces = on;
+    }
+
+    void resetAll() {
+        open.forEach(Work::reset);
+    }
+
+    private void serve(Socket near) throws IOException, InterruptedException {
+        try (Socket far = Work.connect(server.port())) {
+            open.add(near);
+            Thread back = Work.begin("fault proxy back", () -> passBack(far, near));
+            passOn(near, far);
+            far.shutdownOutput();
+            back.join();
+        } finally {
+            open.remove(near);
+        }
+    }
+
+    private void passOn(Socket near, Socket far) throws IOException, InterruptedException {
+        AttemptScanner scanner = new AttemptScanner(
+            (id, told) -> oracle.attempt(proxy, server.name(), id, told));
+        InputStream in = near.getInputStream();
+        OutputStream out = far.getOutputStream();
+        byte[] chunk = new byte[CHUNK_BYTES];
+        for (int n = in.read(chunk); n >= 0; n = in.read(chunk)) {
+            byte[] bytes = planted == PlantedFault.TOO_MUCH_TIME ? withMoreTime(chunk, n)
+                : java.util.Arrays.copyOf(chunk, n);
+            scanner.came(bytes, bytes.length);
+            awaitNoCut();
+            out.write(bytes);
+            plant(bytes);
+        }
+    }
+
+    private void awaitNoCut() throws InterruptedException {
+        while (cut) {
+            Thread.sleep(CUT_LOOK_MS);
+        }
+    }
+
+    private void passBack(Socket far, Socket near) throws IOException, InterruptedException {
+        InputStream in = far.getInputStream();
+        OutputStream out = near.getOutputStream();
+        byte[] chunk = new byte[CHUNK_BYTES];
+        for (int n = in.read(chunk); n >= 0; n = in.read(chunk)) {
+            awaitNoCut();
+            if (planted == PlantedFault.OTHER_VALUE && n > 3 && chunk[0] == 'V' && happens()) {
+                chunk[n - 3] ^= 1; // the last byte of the value
+            }
+            int step = pieces ? PIECE_BYTES : n;
+            for (int from = 0; from < n; from += step) {
+                out.write(chunk, from, Math.min(step, n - from));
+                if (pieces) {
+                    Thread.sleep(1);
+                }
+            }
+        }
+        Work.close(near);
+    }
+
+    // ---- planted faults
+
+    private boolean happens() {
+        synchronized (random) {
+            return random.nextDouble() < PLANTED;
+        }
+    }
+
+    private static byte[] withMoreTime(byte[] chunk, int length) {
+        String text = new String(chunk, 0, length, StandardCharsets.ISO_8859_1);
+        StringBuilder more = new StringBuilder();
+        java.util.regex.Matcher time = java.util.regex.Pattern.compile("([P,: ]d=)(\\d+)").matcher(text);
+        while (time.find()) {
+            time.appendReplacement(more, time.group(1) + (Long.parseLong(time.group(2)) + TOO_MUCH_MS));
+        }
+        return time.appendTail(more).toString().getBytes(StandardCharsets.ISO_8859_1);
+    }
+
+    /** Sends a request once more, somewhere or some time, as a proxy that breaks a rule would. */
+    private void plant(byte[] bytes) {
+        String text = new String(bytes, StandardCharsets.ISO_8859_1);
+        switch (planted) {
+            case SECOND_RUN -> {
+                if (text.startsWith("PUT ") && happens()) {
+                    sendTo(server.port(), bytes, 0);
+                }
+            }
+            case LATE_ATTEMPT -> {
+                String id = text.replaceFirst("(?s).*? O(\\S+).*", "$1");
+                if (text.startsWith("mg ") && oracle.isLeaving(id)) {
+                    sendTo(port(), bytes, LATE_MS);
+                }
+            }
+            case SENT_TO_DRAINED, SENT_TO_OUT_OF_USE -> {
+                String there = oracle.forbidden(proxy, planted == PlantedFault.SENT_TO_OUT_OF_USE);
+                FaultProxy other = there == null ? null : others.apply(there);
+                if (text.startsWith("mg ") && other != null && other != this) {
+                    sendTo(other.port(), bytes, 0);
+                }
+            }
+            default -> {
+                return;
+            }
+        }
+    }
+
+    private static void sendTo(int port, byte[] bytes, long afterMs) {
+        Work.begin("planted", () -> {
+            Thread.sleep(afterMs);
+            try (Socket socket = Work.connect(port)) {
+                socket.getOutputStream().write(bytes);
+                Thread.sleep(CUT_LOOK_MS);
+            }
+        });
+    }
+}
--- /dev/null
+++ b/rig/src/main/java/spurroad/rig/soak/ProxyHost.java
@@ -0,0 +1,354 @@
+package spurroad.rig.soak;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.io.OutputStreamWriter;
+import java.io.Writer;
+import java.net.InetAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * What the platform is to one proxy: holds its listening socket where that is inherited, starts its
+ * processes, sends them signals and waits for their ends. Java can't hand a socket to a process that it
+ * starts, so a few lines of Perl hold it and start what they are told. All methods but the queries are called
+ * by one thread.
+ */
+final class ProxyHost {
+    private static final String HOLDER = String.join("\n", "use IO::Socket::INET; $| = 1;",
+        "my $port = shift; my $held = $port == 0;",
+        "open(my $orders, '<&', \\*STDIN);",
+        "if ($held) { my $s = IO::Socket::INET->new(LocalAddr => '127.0.0.1', LocalPort => 0, Listen => 1024)",
+        "  or die; open(STDIN, '<&', $s); $port = $s->sockport; } else { open(STDIN, '<', '/dev/null'); }",
+        "print \"$port\\n\"; $SIG{CHLD} = 'IGNORE';",
+        "while (my $line = <$orders>) { chomp $line; my ($ignored, $command) = split(/ /, $line, 2);",
+        "  my $pid = fork(); if (!$pid) {",
+        "    if ($ignored) { $SIG{$_} = 'IGNORE' for ('TERM', 'HUP', 'INT'); }",
+        "    exec('/bin/sh', '-c', $command); } print \"$pid\\n\"; }");
+    private static final long READY_MS = 30_000;
+    private static final long LOOK_MS = 10;
+    private static final long CALL_MS = 1_500;
+    private static final long MS = 1_000_000L;
+
+    /** Something that a process may be born with. */
+    enum Birth {
+        PLAIN, SIGNALS_IGNORED, DESCRIPTORS_OPEN, OTHER_ENVIRONMENT
+    }
+
+    /** One process of the proxy. */
+    record Running(long pid, int adminPort, Path configuration) {
+        boolean isAlive() {
+            return ProcessHandle.of(pid).map(ProcessHandle::isAlive).orElse(false);
+        }
+    }
+
+    /** Where the process came from, and what is to be known of every one of a run. */
+    record Surroundings(Path root, String command, Path folder, Oracle oracle, SoakSettings settings) {}
+
+    final int number;
+    final boolean inherited;
+    final Shim shim;
+    private final Surroundings around;
+    private final StandInDiscovery discovery;
+    private final FleetList list;
+    private final FleetList.Endpoint endpoint;
+    private final Path folder;
+    private final Process holder;
+    private final BufferedReader told;
+    private final Writer orders;
+    private final int port;
+    private int starts;
+    private int address; // of discovery
+    private volatile Running current;
+    private volatile Running next;
+    private volatile boolean expectsEnds; // the soak ends a process itself
+
+    ProxyHost(int number, boolean inherited, Path shimLibrary, Surroundings around,
+              StandInDiscovery discovery, FleetList list, FleetList.Endpoint endpoint)
+        throws IOException {
+        this.number = number;
+        this.inherited = inherited;
+        this.around = around;
+        this.discovery = discovery;
+        this.list = list;
+        this.endpoint = endpoint;
+        folder = Files.createDirectories(around.folder.resolve("p-" + number));
+        shim = Shim.of(shimLibrary, folder.resolve("shim"));
+        holder = new ProcessBuilder("perl", "-e", HOLDER, Integer.toString(inherited ? 0 : Work.freePort()))
+            .redirectError(ProcessBuilder.Redirect.INHERIT).start();
+        told = new BufferedReader(new InputStreamReader(holder.getInputStream(), StandardCharsets.US_ASCII));
+        orders = new OutputStreamWriter(holder.getOutputStream(), StandardCharsets.US_ASCII);
+        port = Integer.parseInt(told.readLine());
+    }
+
+    /** Where clients connect. */
+    int port() {
+        return port;
+    }
+
+    Running current() {
+        return current;
+    }
+
+    // ---- starts
+
+    /** Starts a process and waits until it serves. */
+    void start(Birth birth) throws IOException, InterruptedException {
+        current = begin(birth);
+        awaitReady(current);
+    }
+
+    private Running begin(Birth birth) throws IOException {
+        int process = ++starts;
+        int adminPort = Work.freePort();
+        Path configuration = Files.writeString(folder.resolve("c-" + process + ".json"),
+            configuration());
+        Map<String, String> environment = new LinkedHashMap<>(shim.environment(folder));
+        environment.put("BALANCER_CONFIG", configuration.toString());
+        environment.put("BALANCER_ADMIN_ADDR", "127.0.0.1:" + adminPort);
+        environment.put("TMPDIR", folder.toString());
+        if (inherited) {
+            environment.put("BALANCER_LISTEN_FD", "0");
+        }
+        String before = "cd '" + around.root + "'; ";
+        if (birth == Birth.DESCRIPTORS_OPEN) {
+            before += "exec 3</dev/null 4</dev/null 5</dev/null 6</dev/null 7</dev/null 8</dev/null; ";
+        } else if (birth == Birth.OTHER_ENVIRONMENT) {
+            environment.put("LC_ALL", "C");
+            environment.put("TZ", "Asia/Colombo");
+        }
+        StringBuilder line = new StringBuilder(birth == Birth.SIGNALS_IGNORED ? "1 " : "0 ").append(before);
+        environment.forEach((name, value) -> line.append("export ").append(name).append("='").append(value)
+            .append("'; "));
+        line.append(around.command).append(" >> '").append(folder.resolve("log-" + process))
+            .append("' 2>&1\n");
+        orders.write(line.toString());
+        orders.flush();
+        return new Running(Long.parseLong(told.readLine()), adminPort, configuration);
+    }
+
+    private String configuration() {
+        return around.settings.configuration(number, port, discovery.port(address), list.json(0, endpoint));
+    }
+
+    private void awaitReady(Running process) throws InterruptedException {
+        long until = System.nanoTime() + READY_MS * MS;
+        while (System.nanoTime() < until && process.isAlive()) {
+            if (call(process, "GET", "/healthcheck") == 200) {
+                return;
+            }
+            Thread.sleep(LOOK_MS);
+        }
+        around.oracle.violated(Invariant.ALIVE,
+            "p-" + number + " was not ready: " + (process.isAlive() ? "still starting" : "it ended"));
+    }
+
+    // ---- ends
+
+    /** Tells it to end as the platform does at a planned restart, and starts the next. */
+    void restart(Birth birth) throws IOException, InterruptedException {
+        long from = System.nanoTime();
+        end(current);
+        start(birth);
+        // who comes to a held socket meanwhile waits for the next process; to an address of its own nobody can
+        around.oracle.excuse(number, from + SoakSettings.STILL_ACCEPTS_MS * MS, System.nanoTime());
+    }
+
+    /** SIGTERM, and SIGKILL when that is due. */
+    private void end(Running process) throws InterruptedException {
+        expectsEnds = true;
+        signal(process, "TERM");
+        if (around.settings.planted() == PlantedFault.HANGING_END) {
+            signal(process, "STOP");
+        }
+        if (!awaitEnd(process, SoakSettings.KILL_AFTER_MS)) {
+            around.oracle.violated(Invariant.ENDS_IN_TIME, "p-" + number + " was still there after "
+                + SoakSettings.KILL_AFTER_MS + " ms");
+            killNow(process);
+        }
+        expectsEnds = false;
+    }
+
+    private static boolean awaitEnd(Running process, long mostMs) throws InterruptedException {
+        for (long waited = 0; process.isAlive() && waited < mostMs; waited += LOOK_MS) {
+            Thread.sleep(LOOK_MS);
+        }
+        return !process.isAlive();
+    }
+
+    private static void killNow(Running process) throws InterruptedException {
+        ProcessHandle.of(process.pid).ifPresent(ProcessHandle::destroyForcibly);
+        awaitEnd(process, READY_MS);
+    }
+
+    /** Kills it outright, and starts the next. */
+    void kill(Birth birth) throws IOException, InterruptedException {
+        long from = System.nanoTime();
+        expectsEnds = true;
+        killNow(current);
+        expectsEnds = false;
+        start(birth);
+        around.oracle.excuse(number, from, System.nanoTime());
+    }
+
+    /**
+     * Starts a second process beside the first, which ends once that serves; or one of both is killed first.
+     */
+    void upgrade(Birth birth, double detail) throws IOException, InterruptedException {
+        if (!inherited) {
+            restart(birth);
+            return;
+        }
+        Running before = current;
+        next = begin(birth);
+        if (detail < 0.15) { // the new one dies before it serves
+            Thread.sleep((long) (detail * 4_000));
+            expectsEnds = true;
+            long from = System.nanoTime();
+            killNow(next);
+            expectsEnds = false;
+            next = null;
+            around.oracle.excuse(number, from, System.nanoTime());
+            return;
+        }
+        awaitReady(next);
+        current = next;
+        next = null;
+        if (detail < 0.3) {
+            reload(false);
+        }
+        end(before);
+    }
+
+    // ---- signals and calls
+
+    /** Writes a new configuration, in which discovery is reached elsewhere, and tells the process. */
+    void reload(boolean twice) throws IOException {
+        for (int i = 0; i < (twice ? 2 : 1); i++) {
+            address++;
+            Files.writeString(current.configuration, configuration());
+            signal(current, "HUP");
+        }
+    }
+
+    /** The same with a file that can't be used; the right one stands there again afterwards. */
+    void reloadFaulty(double detail) throws IOException, InterruptedException {
+        String whole = configuration();
+        Files.writeString(current.configuration, whole.substring(0, (int) (detail * whole.length())));
+        signal(current, "HUP");
+        Thread.sleep(300);
+        Files.writeString(current.configuration, whole);
+    }
+
+    /** Stops it for a moment, again and again. */
+    void holdUp(long lastsMs) throws InterruptedException {
+        Running process = current;
+        long until = System.nanoTime() + lastsMs * MS;
+        while (System.nanoTime() < until) {
+            long from = System.nanoTime();
+            signal(process, "STOP");
+            Thread.sleep(SoakSettings.HELD_UP_MS);
+            signal(process, "CONT");
+            around.oracle.heldUp(number, from, System.nanoTime());
+            Thread.sleep(SoakSettings.HELD_UP_MS);
+        }
+    }
+
+    /** Takes a cache node out of use or gives it back; the oracle hears of the yes. */
+    void byHand(String node, boolean out) throws InterruptedException {
+        if (!out) {
+            around.oracle.outOfUse(number, node, false);
+        }
+        for (int i = 0; i < 20; i++) {
+            if (call(current, "POST", "/cache-nodes/" + node + (out ? "/maint" : "/ready")) == 200) {
+                if (out) {
+                    around.oracle.outOfUse(number, node, true);
+                }
+                return;
+            }
+            Thread.sleep(200);
+        }
+    }
+
+    private static void signal(Running process, String name) {
+        try {
+            new ProcessBuilder("kill", "-" + name, Long.toString(process.pid))
+                .redirectError(ProcessBuilder.Redirect.DISCARD).start().waitFor(5, TimeUnit.SECONDS);
+        } catch (IOException e) {
+            throw new IllegalStateException("no kill command", e);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
+    /** The status of a call at the second address; 0 where there was no answer. */
+    private static int call(Running process, String method, String path) {
+        try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), process.adminPort)) {
+            socket.setSoTimeout((int) CALL_MS);
+            socket.getOutputStream().write((method + " " + path + " HTTP/1.1\r\nHost: a\r\n\r\n")
+                .getBytes(StandardCharsets.ISO_8859_1));
+            String line = StandInServer.line(socket.getInputStream());
+            return line == null ? 0 : Integer.parseInt(line.split(" ")[1]);
+        } catch (IOException e) {
+            return 0;
+        }
+    }
+
+    // ---- looked at now and then, by another thread
+
+    /** Looks whether its process is there and keeps within its limits. */
+    void look() {
+        Running process = current;
+        if (process == null || expectsEnds || next != null) {
+            return;
+        }
+        if (!process.isAlive()) {
+            if (process == current && !expectsEnds) {
+                around.oracle.violated(Invariant.ALIVE, "p-" + number + " ended by itself");
+            }
+            return;
+        }
+        String[] files = Path.of("/proc/" + process.pid + "/fd").toFile().list();
+        int most = around.settings.planted() == PlantedFault.LOW_LIMIT ? 10 : SoakSettings.SOCKETS;
+        if (files != null && files.length > most) {
+            around.oracle.violated(Invariant.WITHIN_LIMITS, "p-" + number + " holds " + files.length
+                + " descriptors of " + most);
+        }
+        double memoryMb = residentMb(process.pid);
+        if (memoryMb > SoakSettings.MEMORY_MB) {
+            around.oracle.violated(Invariant.WITHIN_LIMITS, "p-" + number + " holds " + memoryMb + " MB");
+        }
+    }
+
+    private static double residentMb(long pid) {
+        try {
+            return Files.readAllLines(Path.of("/proc/" + pid + "/status")).stream()
+                .filter(line -> line.startsWith("VmRSS"))
+                .mapToDouble(line -> Double.parseDouble(line.replaceAll("\\D", "")) / 1024).findFirst()
+                .orElse(0);
+        } catch (IOException e) {
+            return 0; // it has just ended
+        }
+    }
+
+    /** Ends it without a word; for a planted crash, and the end of the run. */
+    void destroy() {
+        for (Running process : new Running[] {current, next}) {
+            if (process != null) {
+                ProcessHandle.of(process.pid).ifPresent(ProcessHandle::destroyForcibly);
+            }
+        }
+    }
+
+    void close() {
+        expectsEnds = true;
+        destroy();
+        holder.destroyForcibly();
+    }
+}
--- /dev/null
+++ b/rig/src/main/java/spurroad/rig/soak/SoakRun.java
@@ -0,0 +1,333 @@
+package spurroad.rig.soak;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ThreadFactory;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import java.util.stream.IntStream;
+import spurroad.rig.soak.ProxyHost.Birth;
+import spurroad.rig.soak.Shim.Field;
+import spurroad.rig.soak.StandInServer.Mode;
+
+/** Plays one plan: real proxies, and stand-ins for all their peers, in this process. */
+public final class SoakRun implements AutoCloseable {
+    private static final int CLIENTS_EACH = 4;
+    private static final long LOOK_MS = 250;
+    private static final long CRASH_AT_MS = 4_000; // ms; of a planted crash
+    private static final int IDLE_CLIENTS = 200;
+    private static final long HOUR_NS = 3_600_000_000_000L;
+    private static final long SECOND_NS = 1_000_000_000L;
+    private static final long MS = 1_000_000L;
+    private static final int ALWAYS = 1_000; // of 1,000 calls that may fail
+    private static final Pattern RUN = Pattern.compile("(?m)^run = \"(.*)\"$");
+
+    private final SoakSettings settings;
+    private final TroublePlan plan;
+    private final Consumer<String> progress;
+    private final Oracle oracle = new Oracle();
+    private final FleetList list;
+    private final List<StandInServer> servers = new ArrayList<>();
+    private final List<Map<String, FaultProxy>> faultProxies = new ArrayList<>();
+    private final List<StandInDiscovery> discoveries = new ArrayList<>();
+    private final List<ProxyHost> proxies = new ArrayList<>();
+    private final List<ExecutorService> operators = new ArrayList<>(); // one a proxy: its lifecycle
+    private final ScheduledExecutorService timeline = Executors.newScheduledThreadPool(8, daemon("timeline"));
+    private final Random births;
+
+    /**
+     * Builds a world; nothing runs yet but stand-ins.
+     *
+     * @param root of the repository, where the proxies are built
+     * @param folder for logs and configurations
+     */
+    public SoakRun(SoakSettings settings, Path root, Path folder, Consumer<String> progress)
+        throws IOException, InterruptedException {
+        this(settings, TroublePlan.of(settings.seed(), settings.seconds() * 1_000L, settings.proxies(),
+            settings.nodes()), root, folder, progress);
+    }
+
+    /** One with a plan of its own. */
+    SoakRun(SoakSettings settings, TroublePlan plan, Path root, Path folder, Consumer<String> progress)
+        throws IOException, InterruptedException {
+        this.settings = settings;
+        this.plan = plan;
+        this.progress = progress;
+        births = new Random(settings.seed() + 1);
+        list = new FleetList(settings.nodes());
+        for (int i = 0; i < settings.nodes(); i++) {
+            servers.add(new StandInServer(FleetList.nodeName(i), oracle, settings.seed() * 31 + i));
+        }
+        servers.add(new StandInServer(StandInServer.ORIGIN, oracle, settings.seed() * 31 - 1));
+        Path library = Shim.build(folder);
+        ProxyHost.Surroundings around = new ProxyHost.Surroundings(root, command(root), folder, oracle,
+            settings);
+        for (int i = 0; i < settings.proxies(); i++) {
+            addProxy(i, library, around);
+        }
+    }
+
+    private static ThreadFactory daemon(String name) {
+        return work -> {
+            Thread thread = new Thread(work, name);
+            thread.setDaemon(true);
+            return thread;
+        };
+    }
+
+    /** What the deploy file starts a proxy with. */
+    private static String command(Path root) throws IOException {
+        Matcher run = RUN.matcher(Files.readString(root.resolve("deploy").resolve("balancer.toml")));
+        if (!run.find()) {
+            throw new IOException("deploy/balancer.toml has no line run = \"...\"");
+        }
+        return run.group(1);
+    }
+
+    private void addProxy(int number, Path library, ProxyHost.Surroundings around) throws IOException {
+        Map<String, FaultProxy> between = new HashMap<>();
+        for (StandInServer server : servers) {
+            between.put(server.name(),
+                new FaultProxy(number, server, oracle, settings.planted(), between::get,
+                    settings.seed() * 37 + number));
+        }
+        faultProxies.add(between);
+        FleetList.Endpoint endpoint = server -> between.get(servers.get(server).name()).port();
+        StandInDiscovery discovery = new StandInDiscovery(number, list, endpoint, oracle);
+        discoveries.add(discovery);
+        proxies.add(new ProxyHost(number, number % 2 == 0, library, around, discovery, list, endpoint));
+        operators.add(Executors.newSingleThreadExecutor(daemon("operator")));
+    }
+
+    /** The troubles that it plays. */
+    public List<String> plan() {
+        return plan.troubles().stream().map(Trouble::toString).toList();
+    }
+
+    /** Plays it and judges what was seen. */
+    public SoakResult play() throws IOException, InterruptedException {
+        startAll();
+        progress.accept(settings.proxies() + " proxies serve");
+        long beganAt = System.nanoTime();
+        long until = beganAt + settings.seconds() * SECOND_NS;
+        timeline.scheduleAtFixedRate(() -> proxies.forEach(ProxyHost::look), LOOK_MS, LOOK_MS,
+            TimeUnit.MILLISECONDS);
+        plan.troubles().forEach(this::schedule);
+        if (settings.planted() == PlantedFault.CRASH) {
+            timeline.schedule(() -> proxies.get(0).destroy(), CRASH_AT_MS, TimeUnit.MILLISECONDS);
+        }
+        List<Thread> clients = new ArrayList<>();
+        for (ProxyHost proxy : proxies) {
+            for (int i = 0; i < CLIENTS_EACH; i++) {
+                String name = "p" + proxy.number + "c" + i;
+                SoakClient client = new SoakClient(proxy, name, oracle, settings,
+                    settings.seed() * 41 + proxy.number * 100L + i);
+                clients.add(Work.begin("client", () -> client.run(until)));
+            }
+        }
+        for (Thread client : clients) {
+            client.join();
+        }
+        for (ExecutorService operator : operators) {
+            operator.shutdown();
+            operator.awaitTermination(40, TimeUnit.SECONDS);
+        }
+        return oracle.judge();
+    }
+
+    private void startAll() throws InterruptedException {
+        CountDownLatch started = new CountDownLatch(proxies.size());
+        for (int i = 0; i < proxies.size(); i++) {
+            operate(i, proxy -> {
+                proxy.start(Birth.PLAIN);
+                started.countDown();
+            });
+        }
+        if (!started.await(60, TimeUnit.SECONDS)) {
+            oracle.violated(Invariant.ALIVE, started.getCount() + " proxies did not start");
+        }
+    }
+
+    // ---- troubles
+
+    /** What is done to a proxy by its operator, one thing after the other. */
+    private interface Operation {
+        void on(ProxyHost proxy) throws IOException, InterruptedException;
+    }
+
+    private void operate(int proxy, Operation operation) {
+        operators.get(proxy).submit(() -> {
+            try {
+                operation.on(proxies.get(proxy));
+            } catch (IOException | RuntimeException e) {
+                oracle.violated(Invariant.ALIVE, "the soak can't work p-" + proxy + ": " + e);
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        });
+    }
+
+    private void schedule(Trouble trouble) {
+        Birth birth = Birth.values()[births.nextInt(Birth.values().length)];
+        timeline.schedule(() -> begin(trouble, birth), trouble.fromMs(), TimeUnit.MILLISECONDS);
+    }
+
+    /** Has it on now, and off when the trouble is over. */
+    private void during(Trouble trouble, Consumer<Boolean> on) {
+        on.accept(true);
+        timeline.schedule(() -> on.accept(false), trouble.untilMs() - trouble.fromMs(),
+            TimeUnit.MILLISECONDS);
+    }
+
+    private void begin(Trouble trouble, Birth birth) {
+        switch (trouble.kind().target) {
+            case PROXY -> beginAtProxy(trouble, birth);
+            case NODE -> beginAtNode(trouble);
+            case ORIGIN -> beginAtOrigin(trouble);
+            case DISCOVERY -> beginAtDiscovery(trouble);
+        }
+    }
+
+    private void beginAtProxy(Trouble trouble, Birth birth) {
+        int number = trouble.target();
+        ProxyHost proxy = proxies.get(number);
+        switch (trouble.kind()) {
+            case PROXY_STOPPED -> operate(number, p -> p.restart(birth));
+            case PROXY_KILLED -> operate(number, p -> p.kill(birth));
+            case PROXY_UPGRADED -> operate(number, p -> p.upgrade(birth, trouble.detail()));
+            case PROXY_RELOADED -> operate(number, p -> p.reload(false));
+            case PROXY_RELOADED_TWICE -> operate(number, p -> p.reload(true));
+            case PROXY_RELOADED_WITH_A_FAULTY_FILE -> operate(number, p -> p.reloadFaulty(trouble.detail()));
+            case PROXY_HELD_UP -> operate(number, p -> p.holdUp(trouble.untilMs() - trouble.fromMs()));
+            case CLOCK_STEPPED -> proxy.shim.set(Field.CLOCK_OFFSET_NS, step(trouble.detail()));
+            case ACCEPT_FAILS -> during(trouble, on -> failing(proxy, Field.ACCEPT, on, ALWAYS / 2));
+            case SOCKET_FAILS -> during(trouble, on -> failing(proxy, Field.SOCKET, on, ALWAYS / 3));
+            case CONNECT_FAILS -> during(trouble, on -> failing(proxy, Field.CONNECT, on, ALWAYS / 3));
+            case SHORT_READS_AND_WRITES -> during(trouble,
+                on -> failing(proxy, Field.SHORT_IO, on, ALWAYS / 2));
+            case CONNECTIONS_BREAK -> during(trouble,
+                on -> failing(proxy, Field.BROKEN_READ, on, ALWAYS / 50));
+            case WAITS_ARE_INTERRUPTED -> during(trouble, on -> failing(proxy, Field.WAIT, on, ALWAYS / 3));
+            case FOLDER_TAKES_NOTHING -> during(trouble, on -> failing(proxy, Field.DISK, on, ALWAYS));
+            case NODE_OUT_BY_HAND -> {
+                String node = FleetList.nodeName((int) (trouble.detail() * settings.nodes()));
+                operate(number, p -> p.byHand(node, true));
+                timeline.schedule(() -> operate(number, p -> p.byHand(node, false)),
+                    trouble.untilMs() - trouble.fromMs(), TimeUnit.MILLISECONDS);
+            }
+            default -> idleClients(proxy, trouble);
+        }
+    }
+
+    private static long step(double detail) {
+        return detail < 0.25 ? HOUR_NS
+            : detail < 0.5 ? -HOUR_NS : (long) ((detail - 0.75) * 4 * 5 * SECOND_NS);
+    }
+
+    private static void failing(ProxyHost proxy, Field field, boolean on, int ofAThousand) {
+        proxy.shim.set(field, on ? ofAThousand : 0);
+    }
+
+    /** Many connect and say nothing. */
+    private void idleClients(ProxyHost proxy, Trouble trouble) {
+        List<java.net.Socket> idle = new ArrayList<>();
+        Work.begin("idle clients", () -> {
+            try {
+                for (int i = 0; i < IDLE_CLIENTS; i++) {
+                    idle.add(Work.connect(proxy.port()));
+                }
+                Thread.sleep(trouble.untilMs() - trouble.fromMs());
+            } finally {
+                idle.forEach(Work::close);
+            }
+        });
+    }
+
+    private void beginAtNode(Trouble trouble) {
+        int number = trouble.target();
+        StandInServer node = servers.get(number);
+        switch (trouble.kind()) {
+            case NODE_DRAINED -> drain(trouble);
+            case NODE_RESTARTED -> restart(node, number, trouble.untilMs() - trouble.fromMs());
+            case NODE_ANSWERS_IN_PIECES -> during(trouble,
+                on -> faultProxies.forEach(of -> of.get(node.name()).pieces(on)));
+            case NODE_SILENT -> during(trouble, on -> {
+                if (trouble.detail() < 0.5) {
+                    node.mode(on ? Mode.SILENT : Mode.WELL);
+                } else {
+                    faultProxies.forEach(of -> of.get(node.name()).cut(on));
+                }
+            });
+            case NODE_SLOW -> during(trouble, on -> node.mode(on ? Mode.SLOW : Mode.WELL));
+            case NODE_FAILS -> during(trouble, on -> node.mode(on ? Mode.FAILS : Mode.WELL));
+            case NODE_BUSY -> during(trouble, on -> node.mode(on ? Mode.BUSY : Mode.WELL));
+            case NODE_RESETS -> during(trouble, on -> node.mode(on ? Mode.RESETS : Mode.WELL));
+            default -> during(trouble, on -> node.mode(on ? Mode.SPOILS : Mode.WELL));
+        }
+    }
+
+    /** A node drains, ends, and is back as a new process. */
+    private void drain(Trouble trouble) {
+        int number = trouble.target();
+        if (list.isDraining(number)) {
+            return;
+        }
+        list.drain(number);
+        timeline.schedule(() -> restart(servers.get(number), number, 300),
+            trouble.untilMs() - trouble.fromMs(), TimeUnit.MILLISECONDS);
+    }
+
+    private void restart(StandInServer node, int number, long awayMs) {
+        if (list.isDraining(number) && awayMs != 300) {
+            return; // it drains, and comes back after that
+        }
+        node.gone(true);
+        faultProxies.forEach(of -> of.get(node.name()).resetAll());
+        timeline.schedule(() -> {
+            node.gone(false);
+            for (ProxyHost proxy : proxies) {
+                oracle.usable(proxy.number, node.name());
+            }
+            list.started(number, System.currentTimeMillis());
+        }, awayMs, TimeUnit.MILLISECONDS);
+    }
+
+    private void beginAtOrigin(Trouble trouble) {
+        StandInServer origin = servers.get(settings.nodes());
+        Mode mode = switch (trouble.kind()) {
+            case ORIGIN_SILENT -> Mode.SILENT;
+            case ORIGIN_SLOW -> Mode.SLOW;
+            case ORIGIN_FAILS -> trouble.detail() < 0.5 ? Mode.FAILS : Mode.BUSY;
+            default -> trouble.detail() < 0.5 ? Mode.RESETS : Mode.SPOILS;
+        };
+        during(trouble, on -> origin.mode(on ? mode : Mode.WELL));
+    }
+
+    private void beginAtDiscovery(Trouble trouble) {
+        StandInDiscovery discovery = discoveries.get(trouble.target());
+        switch (trouble.kind()) {
+            case DISCOVERY_DOWN -> during(trouble, discovery::down);
+            case DISCOVERY_SILENT -> during(trouble, discovery::silent);
+            default -> during(trouble, discovery::slow);
+        }
+    }
+
+    @Override
+    public void close() {
+        timeline.shutdownNow();
+        operators.forEach(ExecutorService::shutdownNow);
+        proxies.forEach(ProxyHost::close);
+    }
+}
--- /dev/null
+++ b/rig/src/main/java/spurroad/rig/soak/TroublePlan.java
@@ -0,0 +1,56 @@
+package spurroad.rig.soak;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Random;
+
+/** The troubles of a run, all drawn from its seed: two or three at a time, most of them at one proxy. */
+record TroublePlan(List<Trouble> troubles) {
+    private static final long WARM_MS = 1_500; // ms; without trouble, at the beginning
+    private static final long CALM_MS = 5_000; // ms; the same, at the end
+    private static final int LEAST_APART_MS = 700; // ms; from one group of troubles to the next
+    private static final int MOST_APART_MS = 2_000;
+    private static final int TOGETHER_MS = 600; // ms; within which the troubles of a group begin
+    private static final double THREE = 0.5; // of the groups have three troubles, the others two
+    private static final double PROXY = 0.6; // of the troubles happen to proxies
+
+    /** Draws the plan of a run. */
+    static TroublePlan of(long seed, long lengthMs, int proxies, int nodes) {
+        Random random = new Random(seed);
+        List<Trouble> troubles = new ArrayList<>();
+        long at = WARM_MS;
+        while (at < lengthMs - CALM_MS) {
+            int proxy = random.nextInt(proxies);
+            int count = random.nextDouble() < THREE ? 3 : 2;
+            for (int i = 0; i < count; i++) {
+                troubles.add(trouble(random, at + random.nextInt(TOGETHER_MS), proxy, nodes));
+            }
+            at += LEAST_APART_MS + random.nextInt(MOST_APART_MS - LEAST_APART_MS);
+        }
+        troubles.sort(Comparator.comparingLong(Trouble::fromMs));
+        return new TroublePlan(List.copyOf(troubles));
+    }
+
+    private static Trouble trouble(Random random, long at, int proxy, int nodes) {
+        TroubleKind kind = kind(random);
+        int target = switch (kind.target) {
+            case PROXY, DISCOVERY -> proxy;
+            case NODE -> random.nextInt(nodes);
+            case ORIGIN -> 0;
+        };
+        long lasts = kind.shortestMs + random.nextInt(kind.longestMs - kind.shortestMs + 1);
+        return new Trouble(kind, target, at, at + lasts, random.nextDouble());
+    }
+
+    private static TroubleKind kind(Random random) {
+        boolean atProxy = random.nextDouble() < PROXY;
+        List<TroubleKind> kinds = new ArrayList<>();
+        for (TroubleKind kind : TroubleKind.values()) {
+            if (kind.target == TroubleKind.Target.PROXY == atProxy) {
+                kinds.add(kind);
+            }
+        }
+        return kinds.get(random.nextInt(kinds.size()));
+    }
+}
