Interrupted reads and writes move no bytes and end nothing

Change: -1 alone is a stream's end; a write that was interrupted moved nothing and is made again when the system says so; an accept that finds nobody is made once more. SoakTest in whole has not been run again yet.

--- a/proxy/src/main/java/spurroad/transport/Connection.java
+++ b/proxy/src/main/java/spurroad/transport/Connection.java
@@ -33,6 +33,9 @@
         void ended();
     }
 
+    private static final int END = -1; // of a stream, as a channel's read tells it
+    // what reads and writes of a socket that does not block return where they were interrupted (EINTR)
+    private static final int INTERRUPTED = -3;
     private static final long NOT_UNREAD = Long.MIN_VALUE;
     private final Loop loop;
     private final ReadableByteChannel source;
@@ -140,10 +143,10 @@
             int limit = Math.min(most, loop.in.capacity());
             loop.in.clear().limit(limit);
             int n = source.read(loop.in);
-            noteArrival(n == limit);
+            noteArrival(n == limit || n == INTERRUPTED);
             if (n > 0) {
                 user.came(loop.in.flip());
-            } else if (n < 0) {
+            } else if (n == END) {
                 endedInOrder = true;
                 broke();
             }
@@ -221,7 +224,7 @@
         }
         try {
             if (waiting.isEmpty() && bytes.isDirect()) { // an array goes by way of the loop's own buffer
-                taken += sink.write(bytes);
+                taken += moved(sink.write(bytes));
             }
             if (bytes.hasRemaining()) {
                 byte[] rest = new byte[bytes.remaining()];
@@ -262,6 +265,11 @@
         return waiting.isEmpty();
     }
 
+    /** How many bytes a call has moved: none where it was interrupted. */
+    private static int moved(int returned) {
+        return Math.max(0, returned);
+    }
+
     /** Writes what waits as far as the system takes it; whether that was all. */
     private boolean flush() {
         try {
@@ -269,7 +277,7 @@
                 byte[] first = waiting.peek();
                 int n = Math.min(first.length - at, loop.out.capacity());
                 loop.out.clear().put(first, at, n).flip();
-                int written = sink.write(loop.out);
+                int written = moved(sink.write(loop.out));
                 at += written;
                 taken += written;
                 if (loop.out.hasRemaining()) {
--- a/proxy/src/main/java/spurroad/transport/Listener.java
+++ b/proxy/src/main/java/spurroad/transport/Listener.java
@@ -165,6 +165,7 @@
     private boolean acceptOne(boolean guest) {
         try {
             SocketChannel s = acceptor.accept();
+            s = s == null ? acceptor.accept() : s; // one that was interrupted finds nobody, too
             if (s == null) {
                 places.give(guest);
                 waitingSince = NOBODY_WAITS;
