--- a/rig/src/main/java/spurroad/rig/soak/SoakRun.java
+++ b/rig/src/main/java/spurroad/rig/soak/SoakRun.java
@@ -89,7 +89,7 @@
     }
 
     /** What the deploy file starts a proxy with. */
-    private static String command(Path root) throws IOException {
+    static String command(Path root) throws IOException {
         Matcher run = RUN.matcher(Files.readString(root.resolve("deploy").resolve("balancer.toml")));
         if (!run.find()) {
             throw new IOException("deploy/balancer.toml has no line run = \"...\"");
