Failing test: places count neither inherited descriptors nor the system's own limit

ProxyStart divides the configured `sockets` alone: a process born with a hundred open descriptors holds a hundred more than it may, and one whose hard limit is lower runs into EMFILE at every accept and connect.

--- a/proxy/src/main/java/spurroad/start/ProxyStart.java
+++ b/proxy/src/main/java/spurroad/start/ProxyStart.java
@@ -76,7 +76,8 @@
             throw new FaultyKeyException("BALANCER_CONFIG is not set: expected the path of a JSON file");
         }
         try {
-            return new ProxyStart(Files.readString(Path.of(path)), environment);
+            return new ProxyStart(Files.readString(Path.of(path)), environment,
+                ProcessLimits.ofThisProcess());
         } catch (IOException e) {
             throw new FaultyKeyException("BALANCER_CONFIG: can't read " + path);
         }
@@ -89,6 +90,11 @@
 
     /** With what the environment tells besides the file. */
     public ProxyStart(String text, Map<String, String> environment) {
+        this(text, environment, ProcessLimits.NONE);
+    }
+
+    /** With what the process was born with. */
+    ProxyStart(String text, Map<String, String> environment, ProcessLimits born) {
         Object json;
         try {
             json = Json.read(text);
--- a/proxy/src/test/java/spurroad/start/ProxyStartTest.java
+++ b/proxy/src/test/java/spurroad/start/ProxyStartTest.java
@@ -52,6 +52,17 @@
         assertEquals(new ProxyStart(GOOD.replaceFirst("\"limits\":\\{[^}]*\\},", "")).places, all);
     }
 
+    /** Descriptors that were open before it, and a limit of the system below the configured one. */
+    @Test
+    public void placesFitIntoWhatTheProcessWasBornWith() {
+        int all = new ProxyStart(GOOD).places;
+        assertEquals(new ProxyStart(GOOD, Map.of(), new ProcessLimits(100, 20_000)).places, all - 100);
+        assertEquals(new ProxyStart(GOOD, Map.of(), new ProcessLimits(0, 300)).places, all - (1024 - 300));
+        assertEquals(new ProxyStart(GOOD, Map.of(), new ProcessLimits(0, 2048)).places, all);
+        assertTrue(new ProxyStart(GOOD, Map.of(), new ProcessLimits(5_000, 300)).places > 0);
+        assertEquals(ProcessLimits.ofThisProcess().mostOpen() > 0, true);
+    }
+
     @Test
     public void whatChangedAndNeedsANewStartIsNamed() {
         String other = GOOD.replace(":8500", ":8600").replace("\"seed\":\"7f\"", "\"seed\":\"8\"");
