Places fit into what the process was born with

Change: descriptors open at the start beyond the usual 14, and the system's hard limit where it is lower, come off the configured number; at least as many places stay as the smallest configuration has. Before: 904 places wanted, 1,004 taken. After: ProxyStartTest passes.

--- a/proxy/src/main/java/spurroad/start/ProxyStart.java
+++ b/proxy/src/main/java/spurroad/start/ProxyStart.java
@@ -126,7 +126,8 @@
         proxies = fleet.peers() ? proxies(whole, fleet) : List.of();
         ownSockets = OWN_SOCKETS + (admin == null ? 0 : ADMIN_SOCKETS) + (fleet.peers() ? PEER_SOCKETS : 0);
         double fitting = (memoryMb * (1 - HEAP_SHARE) - OWN_MB) / PLACE_MB;
-        places = (int) Math.min(sockets - ownSockets, Math.max(LEAST_PLACES, fitting));
+        int free = Math.min(sockets, born.mostOpen()) - born.inherited() - ownSockets;
+        places = (int) Math.min(Math.max(LEAST_SOCKETS - ownSockets, free), Math.max(LEAST_PLACES, fitting));
         try {
             known = Members.read(object(whole.get("known"), "known"), figures.names);
         } catch (ProtocolException e) {
