Rules are checked where things are done, closes and refusals have reasons, SIGHUP is heard sooner

RuleMonitor looks, beside the decision, at each attempt's first byte (node takes nothing new, client has left, time over or told too much), each close (over requests that wait) and each answer (a second one, one over 0.5 s late): counted as rule_violations, told with the request's id. Each close of a client's connection and each refusal at the door has a reason, told every 10 s; lines about failed attempts name request and number. The soak reads the count. An interrupted read is made again at once, else an end would be overlooked right before a request is written; the listening socket is registered again where that fails; no thread for a list call is a failed call; a log handler that throws costs its line.

--- a/proxy/src/main/java/spurroad/program/Main.java
+++ b/proxy/src/main/java/spurroad/program/Main.java
@@ -45,6 +45,10 @@
 
     private static void serve() throws InterruptedException {
         StartBudget budget = new StartBudget();
+        // first of all: the default is to end, and a file may be told of to a process that has just begun
+        CompletableFuture<Service> up = new CompletableFuture<>();
+        Signal.handle(new Signal("HUP"),
+            hup -> up.thenAccept(s -> s.reload(() -> ProxyStart.ofEnvironment(System.getenv()))));
         System.setProperty("java.util.logging.manager", LastingLogs.class.getName());
         LineFormatter lines = new LineFormatter("json".equals(System.getProperty(LOG_PROPERTY)));
         for (Handler handler : Logger.getLogger("").getHandlers()) {
@@ -61,9 +65,6 @@
                 Runtime.getRuntime().halt(0);
             }
         }));
-        CompletableFuture<Service> up = new CompletableFuture<>();
-        Signal.handle(new Signal("HUP"),
-            hup -> up.thenAccept(s -> s.reload(() -> ProxyStart.ofEnvironment(System.getenv()))));
         try {
             ProxyStart start = ProxyStart.ofEnvironment(System.getenv());
             try {
--- a/proxy/src/main/java/spurroad/program/Service.java
+++ b/proxy/src/main/java/spurroad/program/Service.java
@@ -184,6 +184,7 @@
             .gauge("outstanding", results::outstanding)
             .gauge("discovered", () -> decider.standings().listed())
             .gauge("ejected", () -> decider.standings().avoided(clock.now()))
+            .counter("rule_violations", decider::ruleViolations)
             .counter("sighup_applied", applied::get)
             .counter("sighup_rejected", rejected::get);
     }
--- a/proxy/src/main/java/spurroad/routing/ClientConnection.java
+++ b/proxy/src/main/java/spurroad/routing/ClientConnection.java
@@ -142,7 +142,7 @@
             return;
         }
         if (waiting() == 0) {
-            close();
+            close(CloseReason.SENT_BEHIND_A_FAULT);
         } else {
             connection.reading(false); // until the requests before the fault have their answers
         }
@@ -155,7 +155,7 @@
 
     @Override
     public void ended() {
-        close();
+        close(CloseReason.CLIENT_ENDED);
     }
 
     /** Takes the commands that are there whole, as many as may wait for their answers. */
@@ -215,7 +215,7 @@
             return true; // nobody can tell: its requests end with what they have
         }
         if (gone()) {
-            close();
+            close(CloseReason.CLIENT_ENDED);
         } else if (clients.now() - Math.max(toldAt, lookedAt) > KNOWN_NS) {
             goesOn();
         }
@@ -234,7 +234,7 @@
             ahead = false;
             mayHoldMore = aheadLeft() == 0;
             if (gone()) {
-                close();
+                close(CloseReason.CLIENT_ENDED);
             } else if (reads && in.available() > 0) {
                 workAgain();
             }
@@ -364,7 +364,7 @@
             begunAt = command == null ? begunAt : Long.MAX_VALUE;
             return command;
         } catch (IOException e) {
-            close();
+            close(CloseReason.CLIENT_ENDED);
             return null;
         }
     }
@@ -414,19 +414,19 @@
         slot.results.take();
         slot.end = Results.End.DECLINED; // unless it is let in
         if (guest) {
-            return clients.gate.busy;
+            return refused(RefusalReason.NO_PLACE, clients.gate.busy);
         }
         if (!hasReadAll()) {
             clients.log.trouble("more is sent ahead than can be kept", this);
-            return clients.gate.busy; // its client may have left, behind all that
+            return refused(RefusalReason.TOO_MUCH_AHEAD, clients.gate.busy);
         }
         if (!clients.gate.admits(track, customer)) {
-            return clients.gate.rejection();
+            return refused(RefusalReason.SERVICE_LEVEL, clients.gate.rejection());
         }
         long room = Clients.QUERY_BYTES + command.value.length;
         if (!clients.room.take(room)) {
             clients.log.trouble("no room for a query", this);
-            return clients.gate.busy;
+            return refused(RefusalReason.NO_ROOM, clients.gate.busy);
         }
         Query query = new Query(this, command, new TrackId(track), slot.results, new CustomerId(customer),
             clients.loop.arrivedAt(), clients.endsAt(arrivedAt, command.waitMs()));
@@ -437,6 +437,11 @@
         return null;
     }
 
+    private byte[] refused(RefusalReason reason, byte[] answer) {
+        clients.events.refused(reason);
+        return answer;
+    }
+
     // ---- answers
 
     /** Told by the decider: the one final answer of a query. */
@@ -446,6 +451,7 @@
         }
         for (Slot slot : slots) {
             if (slot.query == q) {
+                clients.rules.answered(q.command.id(), slot.answer != null, clients.now() - q.endsAt);
                 slot.answer = answer;
                 slot.end = end;
                 slot.streamed = streamed;
@@ -513,7 +519,7 @@
             ended(writing, Results.End.ABORTED);
         }
         connection.reset();
-        close();
+        close(CloseReason.VALUE_BROKEN_OFF);
     }
 
     private void written() {
@@ -546,7 +552,7 @@
                 lost = true;
                 endOnceTaken();
             } else {
-                close();
+                close(CloseReason.AFTER_LAST_ANSWER);
             }
         }
     }
@@ -558,7 +564,7 @@
         dropped = 0;
         connection.reading(true);
         connection.endOutput();
-        clients.loop.after(HOLDING_NS, this::close);
+        clients.loop.after(HOLDING_NS, () -> close(CloseReason.AFTER_LAST_ANSWER));
     }
 
     private static void ended(Slot slot, Results.End end) {
@@ -577,11 +583,13 @@
 
     // ---- the end
 
-    private void close() {
+    private void close(CloseReason reason) {
         if (over) {
             return;
         }
         over = true;
+        clients.events.closed(reason);
+        clients.rules.closed(reason, unanswered(), this);
         for (Slot slot : slots) {
             if (slot.query != null) {
                 clients.open.remove(slot.query.command.id(), slot.query);
@@ -602,6 +610,15 @@
         clients.ended(this);
     }
 
+    /** How many requests wait for their answers. */
+    private int unanswered() {
+        int waiting = 0;
+        for (Slot slot : slots) {
+            waiting += slot.query != null && slot.answer == null ? 1 : 0;
+        }
+        return waiting;
+    }
+
     /** Nobody takes its answer any more. */
     private void drop(Slot slot) {
         ended(slot, Results.End.LEFT);
@@ -638,7 +655,7 @@
      */
     void closeIfIdle() {
         if (idle()) {
-            giveWay();
+            giveWay(CloseReason.IDLE);
         }
     }
 
@@ -656,17 +673,17 @@
     }
 
     /** Closes it by a reset, unless something has just come. */
-    void giveWay() {
+    void giveWay(CloseReason reason) {
         if (!connection.unread()) {
             connection.reset();
-            close();
+            close(reason);
         }
     }
 
     /** Closes it where the client takes its answers too slowly for the memory that they hold. */
     void closeIfSlow() {
         if (clients.now() - HOLDING_NS > writingSince && (writing == null || writing.streamed == null)) {
-            close();
+            close(CloseReason.TAKES_NO_ANSWERS);
         }
     }
 
@@ -682,7 +699,7 @@
         if (stalled) {
             endUnfinished();
         } else if (now - SLOW_NS > writingSince && !connection.isDrained()) {
-            close(); // nobody reads
+            close(CloseReason.TAKES_NO_ANSWERS);
         } else if (now - idleSince > (crowded ? crowdedNs() : quietNs())) {
             closeIfIdle();
         }
@@ -691,7 +708,7 @@
     /** The rest of a command has not come for long: it was never taken, but requests before it were. */
     private void endUnfinished() {
         if (waiting() == 0) {
-            close();
+            close(CloseReason.UNFINISHED_COMMAND);
             return;
         }
         giveUploadRoom();
--- /dev/null
+++ b/proxy/src/main/java/spurroad/routing/ClientEvents.java
@@ -0,0 +1,44 @@
+package spurroad.routing;
+
+import java.util.EnumMap;
+import java.util.Map;
+import spurroad.transport.EventLog;
+
+/**
+ * Why clients' connections were closed and requests refused at the door since the last line about it. The
+ * loop's.
+ */
+final class ClientEvents {
+    private static final long APART_NS = 10_000_000_000L; // ns; as the line about work
+
+    private final EventLog log;
+    private final Map<CloseReason, Integer> closed = new EnumMap<>(CloseReason.class);
+    private final Map<RefusalReason, Integer> refused = new EnumMap<>(RefusalReason.class);
+    private long toldAt;
+
+    ClientEvents(EventLog log, long now) {
+        this.log = log;
+        toldAt = now;
+    }
+
+    void closed(CloseReason reason) {
+        closed.merge(reason, 1, Integer::sum);
+    }
+
+    void refused(RefusalReason reason) {
+        refused.merge(reason, 1, Integer::sum);
+    }
+
+    /** To be called now and then. */
+    void tell(long now) {
+        if (now - toldAt < APART_NS) {
+            return;
+        }
+        toldAt = now;
+        if (!closed.isEmpty() || !refused.isEmpty()) {
+            log.event("clients", "closed " + closed + ", refused at the door " + refused);
+            closed.clear();
+            refused.clear();
+        }
+    }
+}
--- a/proxy/src/main/java/spurroad/routing/Clients.java
+++ b/proxy/src/main/java/spurroad/routing/Clients.java
@@ -41,6 +41,8 @@
     final Room uploads; // for long values that come in, besides
     final Room readAhead; // for what clients send ahead of their answers beyond the first part, besides
     final Gate gate;
+    final RuleMonitor rules;
+    final ClientEvents events;
     private final Set<ClientConnection> connections = new LinkedHashSet<>();
     private volatile int count; // of them, for other threads
     /** Queries whose final answer has not gone out, by their ids: no two at a time may bear the same. */
@@ -65,6 +67,8 @@
         this.decider = decider;
         this.places = places;
         results = decider.results();
+        rules = decider.rules();
+        events = new ClientEvents(log, loop.now());
         take(start.figures);
         long memory = Math.min(start.memoryMb * MIB / ROOM_SHARE,
             Runtime.getRuntime().maxMemory() / HEAP_SHARE);
@@ -121,6 +125,7 @@
     private void tidy() {
         boolean crowded = CROWD * connections.size() > places;
         List.copyOf(connections).forEach(c -> c.tidy(crowded));
+        events.tell(now());
         if (!ending || !connections.isEmpty()) {
             loop.after(TIDY_NS, this::tidy);
         }
@@ -163,7 +168,7 @@
         List<Overdue> overdue = connections.stream().map(c -> new Overdue(c, c.overdue()))
             .filter(o -> o.by >= 1)
             .sorted(Comparator.comparingDouble(Overdue::by).reversed()).limit(AT_ONCE).toList();
-        overdue.forEach(o -> o.connection.giveWay());
+        overdue.forEach(o -> o.connection.giveWay(CloseReason.PLACE_NEEDED));
         if (overdue.isEmpty()) {
             decider.placesNeeded();
         }
@@ -212,7 +217,7 @@
 
     private void closeQuiet() {
         List.copyOf(connections).stream().filter(c -> now() - c.quietSince() > QUIET_NS && c.overdue() >= 1)
-            .forEach(ClientConnection::giveWay);
+            .forEach(c -> c.giveWay(CloseReason.IDLE));
         if (!connections.isEmpty()) {
             loop.after(TIDY_NS, this::closeQuiet);
         }
--- a/proxy/src/main/java/spurroad/routing/Decider.java
+++ b/proxy/src/main/java/spurroad/routing/Decider.java
@@ -121,6 +121,7 @@
     private final Loop loop;
     private final Clock clock;
     private final EventLog log;
+    private final RuleMonitor rules;
     private final NodeActor.Surroundings around;
     private final Map<NodeId, NodeActor> nodes = new HashMap<>();
     private final Map<QueryId, Query> queries = new HashMap<>();
@@ -156,7 +157,8 @@
         this.log = log;
         balance = new Balance(start.figures.deployment, start.seed);
         fleet = start.figures.deployment.fleet();
-        around = new NodeActor.Surroundings(loop, log, descriptors, start.figures.connectNs,
+        rules = new RuleMonitor(log);
+        around = new NodeActor.Surroundings(loop, log, rules, descriptors, start.figures.connectNs,
             start.figures.deployment.idleNs(), restNs, dialer,
             this::placesNeeded,
             (e, reply) -> fromLoop.add(new Ended(this, e, reply)), results::forwarded);
@@ -424,6 +426,16 @@
         return results;
     }
 
+    /** Checks what is done; the loop's. */
+    RuleMonitor rules() {
+        return rules;
+    }
+
+    /** How often a rule was broken since the start of the process, as far as is checked; from any thread. */
+    public long ruleViolations() {
+        return rules.violations();
+    }
+
     /** What there is to tell of cache nodes, as of the module's last change to it; from any thread. */
     public Standings standings() {
         return standings;
--- a/proxy/src/main/java/spurroad/routing/ListWatch.java
+++ b/proxy/src/main/java/spurroad/routing/ListWatch.java
@@ -102,9 +102,14 @@
 
     private void call(long callNs) {
         again.cancel();
-        current = new Watch(discovery, revision);
-        current.listen(callNs);
-        threads.start("list", current);
+        Watch watch = new Watch(discovery, revision);
+        current = watch;
+        watch.listen(callNs);
+        try {
+            threads.start("list", watch);
+        } catch (OutOfMemoryError e) { // the system has no thread for now: as a call that failed
+            loop.tell(() -> ended(watch, e.getMessage()));
+        }
     }
 
     private void endFormer() {
--- a/proxy/src/main/java/spurroad/routing/NodeActor.java
+++ b/proxy/src/main/java/spurroad/routing/NodeActor.java
@@ -21,7 +21,8 @@
  */
 final class NodeActor {
     /** What all node actors share. */
-    record Surroundings(Loop loop, EventLog log, Descriptors descriptors, long connectNs, long idleNs,
+    record Surroundings(Loop loop, EventLog log, RuleMonitor rules, Descriptors descriptors, long connectNs,
+                        long idleNs,
                         long restNs,
                         Dialer dialer, Runnable closeIdleEverywhere, Ended ended, Runnable forwarded) {}
 
@@ -265,7 +266,7 @@
         if (reply.outcome() == Outcome.ERROR
             || !reply.outcome().answered() && reply.outcome() != Outcome.CANCELLED) {
             around.log.trouble(e.query == null ? "a probe failed" : "an execution failed",
-                name + ", " + reply.outcome());
+                name + ", " + reply.outcome() + (e.query == null ? "" : ", " + e));
         }
         around.ended.ended(e, reply);
     }
@@ -276,6 +277,14 @@
 
     // ---- told by its connections
 
+    /** The first byte of a request has gone out, which told of so much time. */
+    void sent(UpstreamRequest e, long toldMs) {
+        if (e.query != null) {
+            around.rules.sent(new RuleMonitor.Sent(e.command().id(), name, takesNew(), e.query.left, toldMs,
+                e.query.endsAt - now()));
+        }
+    }
+
     /** The last byte of a request has gone out. */
     void written(UpstreamRequest e) {
         if (!e.written && e.query != null) {
--- a/proxy/src/main/java/spurroad/routing/NodeConnection.java
+++ b/proxy/src/main/java/spurroad/routing/NodeConnection.java
@@ -73,7 +73,9 @@
     /** Sends a request. */
     void write(UpstreamRequest e) {
         e.begun = true;
-        connection.write(dialect.message(e.command(), e.timeLeftMs(node.now())));
+        long leftMs = e.timeLeftMs(node.now());
+        connection.write(dialect.message(e.command(), leftMs));
+        node.sent(e, leftMs);
         if (e.query != null && e.command().isLong()) {
             e.command().pieces().forEach(connection::write);
             connection.write(dialect.afterValue());
--- a/proxy/src/main/java/spurroad/routing/UpstreamRequest.java
+++ b/proxy/src/main/java/spurroad/routing/UpstreamRequest.java
@@ -58,6 +58,11 @@
         return query != null && query.unwanted();
     }
 
+    @Override
+    public String toString() {
+        return query == null ? "a probe" : "request " + query.command.id() + ", attempt " + (number + 1);
+    }
+
     MetaCommand command() {
         return query == null ? null : query.command;
     }
--- a/proxy/src/main/java/spurroad/transport/Connection.java
+++ b/proxy/src/main/java/spurroad/transport/Connection.java
@@ -36,6 +36,7 @@
     private static final int END = -1; // of a stream, as a channel's read tells it
     // what reads and writes of a socket that does not block return where they were interrupted (EINTR)
     private static final int INTERRUPTED = -3;
+    private static final int INTERRUPTED_TRIES = 8;
     private static final long NOT_UNREAD = Long.MIN_VALUE;
     private final Loop loop;
     private final ReadableByteChannel source;
@@ -143,6 +144,9 @@
             int limit = Math.min(most, loop.in.capacity());
             loop.in.clear().limit(limit);
             int n = source.read(loop.in);
+            for (int i = 0; n == INTERRUPTED && i < INTERRUPTED_TRIES; i++) {
+                n = source.read(loop.in); // else an end would be overlooked right before a request is sent
+            }
             noteArrival(n == limit || n == INTERRUPTED);
             if (n > 0) {
                 user.came(loop.in.flip());
--- a/proxy/src/main/java/spurroad/transport/Listener.java
+++ b/proxy/src/main/java/spurroad/transport/Listener.java
@@ -128,15 +128,19 @@
 
     /** Begins to accept, and has it told on the loop. */
     public void begin(Runnable begun) {
-        loop.tell(() -> {
-            try {
-                key = loop.register(socket, SelectionKey.OP_ACCEPT, operations -> accept());
-                accept(); // who comes later has not waited
-                begun.run();
-            } catch (IOException e) {
-                log.trouble("the listening socket can't be worked", e.getMessage());
-            }
-        });
+        loop.tell(() -> register(begun));
+    }
+
+    private void register(Runnable begun) {
+        try {
+            key = loop.register(socket, SelectionKey.OP_ACCEPT, operations -> accept());
+        } catch (IOException e) {
+            log.trouble("the listening socket can't be worked yet", e.getMessage());
+            loop.after(REST_NS, () -> register(begun));
+            return;
+        }
+        accept(); // who comes later has not waited
+        begun.run();
     }
 
     private enum Place { OWN, GUEST, NONE }
@@ -222,7 +226,9 @@
     }
 
     private void close() {
-        key.cancel();
+        if (key != null) {
+            key.cancel();
+        }
         try {
             if (own) {
                 socket.close();
@@ -235,6 +241,10 @@
 
     /** Nobody came between two looks: whom the system has accepted has been taken. */
     private void closeOnceQuiet() {
+        if (key == null) { // not worked yet
+            loop.after(LAST_NS, this::closeOnceQuiet);
+            return;
+        }
         if (!key.isValid()) {
             return; // left meanwhile
         }
--- a/proxy/src/main/java/spurroad/transport/LogWriter.java
+++ b/proxy/src/main/java/spurroad/transport/LogWriter.java
@@ -69,13 +69,21 @@
         try {
             while (true) {
                 Line line = next();
-                log.log(line.level, line.text);
+                write(line);
             }
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt(); // nobody does
         }
     }
 
+    private void write(Line line) {
+        try {
+            log.log(line.level, line.text);
+        } catch (RuntimeException e) {
+            return; // where not even the log can be written nobody can be told, but the next line may go
+        }
+    }
+
     private synchronized Line next() throws InterruptedException {
         writing = false;
         notifyAll();
--- a/proxy/src/test/java/spurroad/routing/NodeActorTest.java
+++ b/proxy/src/test/java/spurroad/routing/NodeActorTest.java
@@ -65,7 +65,8 @@
 
     private NodeActor node(int port, boolean origin, Descriptors descriptors, long restNs) {
         return new NodeActor(
-            new NodeActor.Surroundings(loop, log, descriptors, SHORT_NS, LONG_NS, restNs, Dialer.TCP,
+            new NodeActor.Surroundings(loop, log, new RuleMonitor(log), descriptors, SHORT_NS, LONG_NS,
+                restNs, Dialer.TCP,
                 () -> {}, (e, reply) -> ended.add(reply), forwarded::incrementAndGet),
             member(port, 0), origin);
     }
--- /dev/null
+++ b/proxy/src/test/java/spurroad/routing/RuleMonitorTest.java
@@ -0,0 +1,44 @@
+package spurroad.routing;
+
+import static org.testng.Assert.assertEquals;
+
+import java.util.function.Consumer;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+import spurroad.transport.EventLog;
+
+public class RuleMonitorTest {
+    private static final long MS = 1_000_000L;
+
+    private static Consumer<RuleMonitor> sent(boolean takesNew, boolean left, long toldMs, long leftMs) {
+        return m -> m.sent(new RuleMonitor.Sent("ab", "node", takesNew, left, toldMs, leftMs * MS));
+    }
+
+    private static Consumer<RuleMonitor> closed(CloseReason reason, int unanswered) {
+        return m -> m.closed(reason, unanswered, "client");
+    }
+
+    private static Consumer<RuleMonitor> answered(boolean again, long lateMs) {
+        return m -> m.answered("ab", again, lateMs * MS);
+    }
+
+    @DataProvider
+    Object[][] cases() {
+        return new Object[][] {{sent(true, false, 100, 100), 0}, {sent(true, false, 1, 0), 0},
+            {sent(true, false, 249, 100), 0}, {sent(true, false, 251, 100), 1},
+            {sent(true, false, 1, -200), 1}, {sent(false, false, 100, 100), 1},
+            {sent(true, true, 100, 100), 1}, {sent(false, true, 900, 100), 3},
+            {closed(CloseReason.IDLE, 0), 0}, {closed(CloseReason.IDLE, 2), 1},
+            {closed(CloseReason.CLIENT_ENDED, 2), 0}, {closed(CloseReason.TAKES_NO_ANSWERS, 1), 0},
+            {closed(CloseReason.UNFINISHED_COMMAND, 1), 1}, {closed(CloseReason.VALUE_BROKEN_OFF, 1), 1},
+            {answered(false, -5), 0}, {answered(false, 499), 0}, {answered(false, 501), 1},
+            {answered(true, 0), 1}};
+    }
+
+    @Test(dataProvider = "cases")
+    public void whatMustNeverHappenIsCounted(Consumer<RuleMonitor> done, long violations) {
+        RuleMonitor monitor = new RuleMonitor(new EventLog());
+        done.accept(monitor);
+        assertEquals(monitor.violations(), violations);
+    }
+}
--- a/rig/src/main/java/spurroad/rig/soak/Invariant.java
+++ b/rig/src/main/java/spurroad/rig/soak/Invariant.java
@@ -20,6 +20,8 @@
     OWN_VALUE,
     /** No process ends unless it was told to, and a start serves within 30 s. */
     ALIVE,
+    /** The proxy's own checks at run time count nothing. */
+    OWN_CHECKS,
     /** A process stays within its limits on descriptors and memory. */
     WITHIN_LIMITS
 }
--- a/rig/src/main/java/spurroad/rig/soak/ProxyHost.java
+++ b/rig/src/main/java/spurroad/rig/soak/ProxyHost.java
@@ -302,6 +302,27 @@
         }
     }
 
+    /** Looks at what the proxy counts of its own checks. */
+    void checkOwnCount() {
+        Running process = current;
+        String count = process == null ? "" : stats(process).lines()
+            .filter(line -> line.startsWith("proxy.rule_violations:")).findFirst().orElse("");
+        if (!count.isEmpty() && !count.equals("proxy.rule_violations:0|c")) {
+            around.oracle.violated(Invariant.OWN_CHECKS, "p-" + number + " tells " + count);
+        }
+    }
+
+    private static String stats(Running process) {
+        try (Socket socket = new Socket(InetAddress.getLoopbackAddress(), process.adminPort)) {
+            socket.setSoTimeout((int) CALL_MS);
+            socket.getOutputStream()
+                .write("GET /stats HTTP/1.1\r\n\r\n".getBytes(StandardCharsets.ISO_8859_1));
+            return new String(socket.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
+        } catch (IOException e) {
+            return "";
+        }
+    }
+
     // ---- looked at now and then, by another thread
 
     /** Looks whether its process is there and keeps within its limits. */
--- a/rig/src/main/java/spurroad/rig/soak/SoakRun.java
+++ b/rig/src/main/java/spurroad/rig/soak/SoakRun.java
@@ -146,6 +146,7 @@
             operator.shutdown();
             operator.awaitTermination(40, TimeUnit.SECONDS);
         }
+        proxies.forEach(ProxyHost::checkOwnCount);
         return oracle.judge();
     }
 
