Failing test: a request counts from a pause in reading that was over long before it came

Both rows fail; the fault has been there since times are counted from arrivals. Line at fault: Connection.noteReading keeps unreadSince when reading goes on, until the next bytes come, however late.

--- a/proxy/src/test/java/spurroad/program/TimeLeftTest.java
+++ b/proxy/src/test/java/spurroad/program/TimeLeftTest.java
@@ -45,6 +45,7 @@
     private static final int BEHIND = 4;
     private static final long HELD_MS = 300;
     private static final long PATIENT_MS = 30_000;
+    private static final long PAUSE_MS = 1_000;
     /**
      * An answer that waits for its server, and so many behind it that the connection is not read from any
      * more.
@@ -222,6 +223,32 @@
         }
     }
 
+    @DataProvider
+    Object[][] pauses() {
+        return new Object[][] {{"what now\r\n", "ERROR"}, {"mn\r\n".repeat(40), "MN"}};
+    }
+
+    /** A pause in which a connection was not read from says nothing of a request that comes long after it. */
+    @Test(dataProvider = "pauses")
+    public void whatComesAfterAPauseHasAllOfItsTime(String before, String answer) throws Exception {
+        try (Peer node = new Peer(ServiceTest.hit("v"));
+            Peer discovery = new Peer(message -> ServiceTest.WATCH)) {
+            Service service = ServiceTest
+                .service(new ProxyStart(patient(settings(discovery, List.of(node), node))));
+            try (Client client = new Client(service.port())) {
+                client.say(before);
+                for (int i = before.split("\n").length; i > 0; i--) {
+                    assertEquals(client.line(), answer);
+                }
+                Thread.sleep(PAUSE_MS);
+                client.say("mg k v Olater Pc=read,t=acme,d=" + PAUSE_MS + "\r\n");
+                assertEquals(client.line(), "VA 1 Olater");
+            }
+            assertTrue(toldMs(node.await("mg")) > PAUSE_MS / 2, "a pause is taken off");
+            ServiceTest.ending(service).join();
+        }
+    }
+
     private static String chunk(String line) {
         return Integer.toHexString(line.length() + 1) + "\r\n" + line + "\n\r\n";
     }
