What comes after a pause in reading has all of its time

Change: where reading goes on, what stood unread is read at once and dated by the pause; what comes later is not. Before: both rows of the test failed, the request turned away a second after the pause. After: TimeLeftTest, TransportTest, HeldBytesTest, LeavingClientsTest, ServiceTest, NarrowMomentsTest, LongValueTest and UnfinishedCommandTest pass.

--- a/proxy/src/main/java/spurroad/routing/ClientConnection.java
+++ b/proxy/src/main/java/spurroad/routing/ClientConnection.java
@@ -451,7 +451,8 @@
         }
         for (Slot slot : slots) {
             if (slot.query == q) {
-                clients.rules.answered(q.command.id(), slot.answer != null, clients.now() - Math.max(q.endsAt, q.takenAt));
+                clients.rules.answered(q.command.id(), slot.answer != null,
+                    clients.now() - Math.max(q.endsAt, q.takenAt));
                 slot.answer = answer;
                 slot.end = end;
                 slot.streamed = streamed;
--- a/proxy/src/main/java/spurroad/transport/Connection.java
+++ b/proxy/src/main/java/spurroad/transport/Connection.java
@@ -201,11 +201,20 @@
     }
 
     private void noteReading(boolean on) {
-        if (!on && unreadSince == NOT_UNREAD) {
+        if (on) {
+            loop.tell(this::readWhatStood);
+        } else if (unreadSince == NOT_UNREAD) {
             unreadSince = loop.arrivedAt();
         }
     }
 
+    /** What came while nothing was read, before anything that comes later: that has not waited. */
+    private void readWhatStood() {
+        if (isReading() && unreadSince != NOT_UNREAD) {
+            read(loop.in.capacity());
+        }
+    }
+
     /** Whether what comes is read. */
     public boolean isReading() {
         return !closed && reads.isValid() && (reads.interestOps() & SelectionKey.OP_READ) != 0;
