--- a/cli/src/main/java/spurroad/cli/SoakCommand.java
+++ b/cli/src/main/java/spurroad/cli/SoakCommand.java
@@ -17,8 +17,8 @@
 
 /** Plays random troubles that overlap against real proxy processes, and holds them to their invariants. */
 @Command(name = "soak", mixinStandardHelpOptions = true, description = {
-    "Plays random troubles, two or three at a time, against real proxy processes on loopback and holds them to",
-    "their invariants by what crossed the sockets. A seed repeats its plan. Needs gcc and perl."})
+    "Plays random troubles, two or three at a time, against real proxy processes on loopback and holds them",
+    "to their invariants by what crossed the sockets. A seed repeats its plan. Needs gcc and perl."})
 final class SoakCommand implements Callable<Integer> {
     @Option(names = "--seed", paramLabel = "N", split = ",",
         description = "One run for each (${DEFAULT-VALUE}).")
@@ -30,7 +30,7 @@
     @Option(names = "--nodes", paramLabel = "N", description = "Cache nodes (${DEFAULT-VALUE}).")
     private int nodes = 8;
     @Option(names = "--plant", paramLabel = "FAULT",
-        description = "Breaks this on purpose; the run then fails unless it is seen: ${COMPLETION-CANDIDATES}.")
+        description = "Breaks this on purpose; fails unless it is seen: ${COMPLETION-CANDIDATES}.")
     private PlantedFault planted = PlantedFault.NONE;
     @Option(names = "--plan", description = "Prints the plan and plays nothing.")
     private boolean planOnly;
--- a/proxy/src/main/java/spurroad/program/Handover.java
+++ b/proxy/src/main/java/spurroad/program/Handover.java
@@ -45,7 +45,7 @@
     // of all descriptors: for one before, as long as it has all the queries
     private static final double MOST = 0.75;
     private static final int LEAST = 24; // descriptors; fewer serve nobody
-    // tries, BESIDE_MS apart, to read what is out of use before it serves: 2 s of the 6 s that a start may take
+    // tries, BESIDE_MS apart, to read what is out of use before it serves: 2 s of the 6 s of a start
     private static final int FIRST_LOOKS = 40;
 
     /** A call that the others have not taken up yet. */
--- a/proxy/src/main/java/spurroad/program/Main.java
+++ b/proxy/src/main/java/spurroad/program/Main.java
@@ -58,13 +58,7 @@
         // otherwise
         EventLog log = new EventLog();
         Life<Service> life = new Life<>(Service::end);
-        Runtime.getRuntime().addShutdownHook(new Thread(() -> {
-            boolean served = life.end();
-            log.flush(LAST_LINES_MS);
-            if (served) {
-                Runtime.getRuntime().halt(0);
-            }
-        }));
+        endInOrder(life, log);
         try {
             ProxyStart start = ProxyStart.ofEnvironment(System.getenv());
             try {
@@ -90,6 +84,17 @@
         new CountDownLatch(1).await(); // its threads serve until the process is told to end
     }
 
+    /** What a signal to end does; what serves answers all that it has taken. */
+    private static void endInOrder(Life<Service> life, EventLog log) {
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> {
+            boolean served = life.end();
+            log.flush(LAST_LINES_MS);
+            if (served) {
+                Runtime.getRuntime().halt(0);
+            }
+        }));
+    }
+
     private static AdminServer admin(ProxyStart start, Threads threads, EventLog log, Clock clock) {
         try {
             return new AdminServer(start.admin, threads, log, clock);
--- a/proxy/src/main/java/spurroad/routing/RuleMonitor.java
+++ b/proxy/src/main/java/spurroad/routing/RuleMonitor.java
@@ -36,7 +36,7 @@
 
     private static final long NS_PER_MS = 1_000_000L;
     private static final long HELD_UP_NS = 150_000_000L; // ns; between reading a clock and writing
-    private static final long GRACE_NS = 500_000_000L; // ns; after its time an answer earns nothing; later it is lost
+    private static final long GRACE_NS = 500_000_000L; // ns; after its time; an answer that is later is none
 
     private final EventLog log;
     private final AtomicLong violations = new AtomicLong();
--- a/proxy/src/test/java/spurroad/program/HandoverTest.java
+++ b/proxy/src/test/java/spurroad/program/HandoverTest.java
@@ -151,7 +151,7 @@
         old.handover.end();
     }
 
-    // ---- a folder that can't be worked for a while (no room, errors of the disk): a folder stands in the way
+    // ---- a folder that can't be worked for a while (no room, errors of the disk); another stands in the way
 
     private static Path obstacle(Path shared, String name) throws IOException {
         return Files.createDirectories(shared.resolve(name).resolve("in the way"));
--- a/rig/src/main/java/spurroad/rig/soak/FaultProxy.java
+++ b/rig/src/main/java/spurroad/rig/soak/FaultProxy.java
@@ -6,10 +6,13 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
 import java.util.Random;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.function.Function;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
 
 /**
  * What stands between one proxy and one server: tells the oracle of each attempt as it comes, passes bytes on
@@ -22,12 +25,13 @@
     private static final long LATE_MS = 600; // ms; of a planted late attempt
     private static final double PLANTED = 0.1; // of what a planted fault may happen to
     private static final int TOO_MUCH_MS = 1_000;
+    private static final Pattern TOLD = Pattern.compile("([P,: ]d=)(\\d+)");
 
     private final int proxy;
     private final StandInServer server;
     private final Oracle oracle;
     private final PlantedFault planted;
-    private final Function<String, FaultProxy> others; // those of the same proxy, by the names of their servers
+    private final Function<String, FaultProxy> others; // of this proxy, by the names of servers
     private final Random random;
     private final Set<Socket> open = ConcurrentHashMap.newKeySet();
     private final ServerSocket listening;
@@ -86,7 +90,7 @@
         byte[] chunk = new byte[CHUNK_BYTES];
         for (int n = in.read(chunk); n >= 0; n = in.read(chunk)) {
             byte[] bytes = planted == PlantedFault.TOO_MUCH_TIME ? withMoreTime(chunk, n)
-                : java.util.Arrays.copyOf(chunk, n);
+                : Arrays.copyOf(chunk, n);
             scanner.came(bytes, bytes.length);
             awaitNoCut();
             if (far == null) {
@@ -141,7 +145,7 @@
     private static byte[] withMoreTime(byte[] chunk, int length) {
         String text = new String(chunk, 0, length, StandardCharsets.ISO_8859_1);
         StringBuilder more = new StringBuilder();
-        java.util.regex.Matcher time = java.util.regex.Pattern.compile("([P,: ]d=)(\\d+)").matcher(text);
+        Matcher time = TOLD.matcher(text);
         while (time.find()) {
             time.appendReplacement(more, time.group(1) + (Long.parseLong(time.group(2)) + TOO_MUCH_MS));
         }
--- a/rig/src/main/java/spurroad/rig/soak/SoakClient.java
+++ b/rig/src/main/java/spurroad/rig/soak/SoakClient.java
@@ -22,7 +22,7 @@
     private static final int CONNECT_MS = 2_000;
     private static final int PATIENCE_MS = 2_500; // beyond a request's time: then nothing comes
     private static final int MOST_PIPELINED = 6;
-    private static final int UNFINISHED_MS = 3_200; // what a client that stops inside a command is owed a close in
+    private static final int UNFINISHED_MS = 3_200; // within which half a command is owed a close
     private static final long FRESH_NS = 100_000_000L; // ns; who connects for a request sends it sooner
     private static final int FLOOD_BYTES = 400_000;
     private static final double NEW_CONNECTION = 0.15;
--- a/rig/src/main/java/spurroad/rig/soak/SoakRun.java
+++ b/rig/src/main/java/spurroad/rig/soak/SoakRun.java
@@ -1,6 +1,7 @@
 package spurroad.rig.soak;
 
 import java.io.IOException;
+import java.net.Socket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -17,7 +18,6 @@
 import java.util.function.Consumer;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
-import java.util.stream.IntStream;
 import spurroad.rig.soak.ProxyHost.Birth;
 import spurroad.rig.soak.Shim.Field;
 import spurroad.rig.soak.StandInServer.Mode;
@@ -245,7 +245,7 @@
 
     /** Many connect and say nothing. */
     private void idleClients(ProxyHost proxy, Trouble trouble) {
-        List<java.net.Socket> idle = new ArrayList<>();
+        List<Socket> idle = new ArrayList<>();
         Work.begin("idle clients", () -> {
             try {
                 for (int i = 0; i < IDLE_CLIENTS; i++) {
