--- a/rig/src/main/java/spurroad/rig/soak/SoakClient.java
+++ b/rig/src/main/java/spurroad/rig/soak/SoakClient.java
@@ -122,7 +122,7 @@
             case PIPELINED -> {
                 List<SoakRequest> several = new ArrayList<>();
                 for (int n = 2 + random.nextInt(MOST_PIPELINED - 1); n > 0; n--) {
-                    several.add(request(false, isFresh() && several.isEmpty()));
+                    several.add(request(false, isFresh()));
                 }
                 exchange(several);
             }
--- a/rig/src/main/java/spurroad/rig/soak/SoakRun.java
+++ b/rig/src/main/java/spurroad/rig/soak/SoakRun.java
@@ -332,5 +332,6 @@
         timeline.shutdownNow();
         operators.forEach(ExecutorService::shutdownNow);
         proxies.forEach(ProxyHost::close);
+        Work.closeAll();
     }
 }
--- a/rig/src/main/java/spurroad/rig/soak/Work.java
+++ b/rig/src/main/java/spurroad/rig/soak/Work.java
@@ -7,6 +7,8 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.atomic.LongAccumulator;
 
@@ -30,8 +32,18 @@
 
     private static final LongAccumulator LATEST_START_NS = new LongAccumulator(Math::max, 0);
 
+    private static final Set<Closeable> OPEN = ConcurrentHashMap.newKeySet();
+
     private Work() {}
 
+    /**
+     * Closes all that stand-ins hold open, so that their threads end; one run at a time plays in a process.
+     */
+    static void closeAll() {
+        OPEN.forEach(Work::close);
+        OPEN.clear();
+    }
+
     /** How long a connection waited at most for its thread, since it was asked last; in nanoseconds. */
     static long takeLatestStartNs() {
         return LATEST_START_NS.getThenReset();
@@ -57,6 +69,7 @@
     static ServerSocket listen(String name, int port, Serve serve) throws IOException {
         ServerSocket server = new ServerSocket();
         server.setReuseAddress(true);
+        OPEN.add(server);
         server.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), port), BACKLOG);
         begin(name, () -> {
             while (true) {
@@ -64,9 +77,12 @@
                 long acceptedAt = System.nanoTime();
                 begin(name, () -> {
                     LATEST_START_NS.accumulate(System.nanoTime() - acceptedAt);
+                    OPEN.add(socket);
                     try (socket) {
                         socket.setTcpNoDelay(true);
                         serve.connection(socket);
+                    } finally {
+                        OPEN.remove(socket);
                     }
                 });
             }
