--- a/rig/src/main/java/spurroad/rig/soak/ProxyHost.java
+++ b/rig/src/main/java/spurroad/rig/soak/ProxyHost.java
@@ -159,7 +159,7 @@
         long from = System.nanoTime();
         end(current);
         start(birth);
-        // who comes later than that waits for the next process, or finds nobody; who came before is owed an answer
+        // who comes later than that is owed nothing of this process; who came before is owed an answer
         around.oracle.excuseNew(number, from + SoakSettings.STILL_ACCEPTS_MS * MS, System.nanoTime());
     }
 
