--- a/proxy/src/test/java/spurroad/Peers.java
+++ b/proxy/src/test/java/spurroad/Peers.java
@@ -207,6 +207,11 @@
         return "{\"rev\":" + rev + ",\"all\":" + whole + ",\"targets\":[" + String.join(",", targets) + "]}";
     }
 
+    /** A line of a watch, as a chunk of its own. */
+    public static String chunk(String line) {
+        return Integer.toHexString(line.length() + 1) + "\r\n" + line + "\n\r\n";
+    }
+
     /**
      * What a proxy is started with, a process of many tests never using up its share of cores: a read and a
      * marked write, cache nodes before an origin.
--- a/proxy/src/test/java/spurroad/program/ClockStepTest.java
+++ b/proxy/src/test/java/spurroad/program/ClockStepTest.java
@@ -19,10 +19,6 @@
     private static final int REQUESTS = 300;
     private static final double START_CAPACITY = 0.1;
 
-    private static String chunk(String line) {
-        return Integer.toHexString(line.length() + 1) + "\r\n" + line + "\n\r\n";
-    }
-
     @DataProvider
     Object[][] steps() {
         // its start as told, from now; the time to warm up; when requests are sent; its part of them
@@ -37,8 +33,8 @@
         throws Exception {
         try (Peer steady = new Peer(ServiceTest.hit("v"));
             Peer restarted = new Peer(ServiceTest.hit("v"));
-            Peer discovery = new Peer(message -> ServiceTest.WATCH + chunk("")
-                + chunk(Peers.list(2, true, Peers.target("s-0", "m1", steady.port, "active", 0),
+            Peer discovery = new Peer(message -> ServiceTest.WATCH + Peers.chunk("")
+                + Peers.chunk(Peers.list(2, true, Peers.target("s-0", "m1", steady.port, "active", 0),
                     Peers.target("s-1", "m1", restarted.port, "active", 0))))) {
             String settings = Peers.start(discovery.port, 256,
                 Peers.list(1, true, Peers.target("s-0", "m1", steady.port, "active", 0),
@@ -48,8 +44,9 @@
                     + "},\"tickUs\"")));
             try (Client client = new Client(service.port())) {
                 ask(client, "before");
-                discovery.say(chunk(Peers.list(3, false, Peers.target("s-1", "m1", restarted.port, "active",
-                    System.currentTimeMillis() + startedMs))));
+                discovery
+                    .say(Peers.chunk(Peers.list(3, false, Peers.target("s-1", "m1", restarted.port, "active",
+                        System.currentTimeMillis() + startedMs))));
                 Thread.sleep(200 + afterMs); // until it is taken up
                 restarted.heard.clear();
                 ask(client, "after");
--- a/proxy/src/test/java/spurroad/program/NarrowMomentsTest.java
+++ b/proxy/src/test/java/spurroad/program/NarrowMomentsTest.java
@@ -26,10 +26,6 @@
         return ServiceTest.READ.replace("O1", "O" + id);
     }
 
-    private static String chunk(String line) {
-        return Integer.toHexString(line.length() + 1) + "\r\n" + line + "\n\r\n";
-    }
-
     private static Service proxy(String text) throws Exception {
         return ServiceTest.service(new ProxyStart(text));
     }
@@ -168,7 +164,7 @@
             String drained = Peers.list(3, true, Peers.target("s-a", "m1", a.port, "leaving", 0),
                 Peers.target("s-b", "m1", b.port, "active", 0));
             try (Peer discovery = new Peer(m -> ServiceTest.WATCH
-                + (calls.incrementAndGet() == 1 ? chunk(both) : held(go, chunk(drained))))) {
+                + (calls.incrementAndGet() == 1 ? Peers.chunk(both) : held(go, Peers.chunk(drained))))) {
                 Service s = proxy(start(discovery, a));
                 assertNotNull(discovery.await("GET"));
                 long since = System.nanoTime();
@@ -208,7 +204,7 @@
         try (Peer a = new Peer(ServiceTest.hit("a")); Peer b = new Peer(ServiceTest.hit("b"))) {
             String drained = Peers.list(3, true, Peers.target("s-0", "m1", a.port, "leaving", 0),
                 Peers.target("s-b", "m1", b.port, "active", 0));
-            try (Peer agent = new Peer(m -> ServiceTest.WATCH + held(go, chunk(drained)))) {
+            try (Peer agent = new Peer(m -> ServiceTest.WATCH + held(go, Peers.chunk(drained)))) {
                 Service s = proxy(start(agent, a).replace("on_request", "pushed"));
                 try (Client c = new Client(s.port())) {
                     c.say("mn\r\n" + read("1"));
--- a/proxy/src/test/java/spurroad/program/ServiceTest.java
+++ b/proxy/src/test/java/spurroad/program/ServiceTest.java
@@ -213,7 +213,7 @@
                     case 1 -> "HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n";
                     case 2 -> WATCH + "a\r\n{\"rev\":8}\n\r\n";
                     case 3 -> WATCH + "5\r\n{\"rev\r\n0\r\n\r\n";
-                    case 4 -> WATCH + chunk(line) + "0\r\n\r\n";
+                    case 4 -> WATCH + Peers.chunk(line) + "0\r\n\r\n";
                     default -> WATCH;
                 };
             });
@@ -243,15 +243,16 @@
                 proxy(discovery, 256, Peers.target("s-a", "m1", a.port, "active", 0)).port())) {
             assertEquals(c.say(READ).line() + c.line(), "VA 1 O1a");
             watched.await();
-            discovery.say(WATCH + chunk(Peers.list(2, false, Peers.target("s-a", "m1", a.port, "leaving", 0),
-                Peers.target("s-b", "m1", b.port, "active", 0))));
+            discovery
+                .say(WATCH + Peers.chunk(Peers.list(2, false, Peers.target("s-a", "m1", a.port, "leaving", 0),
+                    Peers.target("s-b", "m1", b.port, "active", 0))));
             while (c.say(READ).line().startsWith("VA") && !c.line().equals("b")) {
                 continue; // the change is on its way
             }
             for (int i = 0; i < 30; i++) {
                 assertEquals(c.say(READ.replace("mg k", "mg k" + i)).line() + c.line(), "VA 1 O1b");
             }
-            discovery.say(chunk(Peers.list(3, false, Peers.target("s-a", "m1", a.port, "left", 0))));
+            discovery.say(Peers.chunk(Peers.list(3, false, Peers.target("s-a", "m1", a.port, "left", 0))));
             assertEquals(a.await("closed"), "closed");
         }
     }
@@ -263,9 +264,11 @@
             Peer b = new Peer(hit("b"));
             Peer silent = new Peer(m -> null);
             Peer second = new Peer(
-                m -> WATCH + chunk(Peers.list(9, true, Peers.target("s-b", "m1", b.port, "active", 0))));
+                m -> WATCH
+                    + Peers.chunk(Peers.list(9, true, Peers.target("s-b", "m1", b.port, "active", 0))));
             Peer first = new Peer(
-                m -> WATCH + chunk(Peers.list(7, true, Peers.target("s-a", "m1", a.port, "active", 0))))) {
+                m -> WATCH
+                    + Peers.chunk(Peers.list(7, true, Peers.target("s-a", "m1", a.port, "active", 0))))) {
             Service s = proxy(first, 256, Peers.target("s-a", "m1", a.port, "active", 0));
             try (Client c = new Client(s.port())) {
                 assertEquals(c.say(READ).line() + c.line(), "VA 1 O1a");
@@ -289,10 +292,6 @@
         }
     }
 
-    private static String chunk(String line) {
-        return Integer.toHexString(line.length() + 1) + "\r\n" + line + "\n\r\n";
-    }
-
     @Test
     public void theEndAnswersWhatWasTakenAndLetsNobodyElseIn() throws Exception {
         CountDownLatch ending = new CountDownLatch(1);
--- a/proxy/src/test/java/spurroad/program/TimeLeftTest.java
+++ b/proxy/src/test/java/spurroad/program/TimeLeftTest.java
@@ -180,7 +180,7 @@
         CountDownLatch go = new CountDownLatch(1);
         Function<String, String> silentAtFirst = message -> {
             await(go);
-            return ServiceTest.WATCH + chunk(Peers.list(2, false));
+            return ServiceTest.WATCH + Peers.chunk(Peers.list(2, false));
         };
         try (Peer node = new Peer(ServiceTest.hit("v")); Peer discovery = new Peer(silentAtFirst)) {
             // a pushed list is waited for before connections are accepted
@@ -249,10 +249,6 @@
         }
     }
 
-    private static String chunk(String line) {
-        return Integer.toHexString(line.length() + 1) + "\r\n" + line + "\n\r\n";
-    }
-
     private static long toldMs(String message) {
         Matcher wait = WAIT.matcher(message);
         assertTrue(wait.find(), message);
--- a/proxy/src/test/java/spurroad/routing/ScriptedDiscovery.java
+++ b/proxy/src/test/java/spurroad/routing/ScriptedDiscovery.java
@@ -145,9 +145,9 @@
             case HANGS_AFTER_HEAD -> write(s, HEAD);
             case WATCH_SILENT, WATCH_SILENT_THEN_CALL_HANGS -> {
                 if (call == 1) {
-                    write(s, HEAD + chunk(Peers.list(1, true)));
+                    write(s, HEAD + Peers.chunk(Peers.list(1, true)));
                     Thread.sleep(2000);
-                    write(s, chunk(""));
+                    write(s, Peers.chunk(""));
                     since = System.nanoTime();
                 } else if (call == 3 || away == Away.WATCH_SILENT) {
                     tell(s, 2);
@@ -159,14 +159,14 @@
     }
 
     private void tell(Socket s, int revision) throws Exception {
-        write(s, HEAD + chunk(Peers.list(revision, true)));
+        write(s, HEAD + Peers.chunk(Peers.list(revision, true)));
         if (toldAt == 0) {
             toldAt = System.nanoTime();
             told.countDown();
         }
         while (true) { // a beat, as of a watch on which nothing changes
             Thread.sleep(2000);
-            write(s, chunk(""));
+            write(s, Peers.chunk(""));
         }
     }
 
@@ -181,10 +181,6 @@
         s.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
     }
 
-    private static String chunk(String line) {
-        return Integer.toHexString(line.length() + 1) + "\r\n" + line + "\n\r\n";
-    }
-
     long tookMs() throws InterruptedException {
         return told.await(PATIENCE_MS, TimeUnit.MILLISECONDS) ? (toldAt - since) / MS : Long.MAX_VALUE;
     }
