An ejected endpoint that drained meanwhile is probed again

What callers saw: nothing at once. A cache endpoint that was ejected, drained for a moment under one start time and was ready again got no request from this proxy until its restart; its keys went to the neighbours.

Cause: only a watched endpoint gets the load probe that lets its trial begin. The check stops watching an idle endpoint that is not ready; an attempt or a further ejection alone would watch it again, and it gets neither. Seen: no probe in 10 s with the drain, one within the ejection time without it (probesAnEjectedEndpoint, which always passed).

Mend: the table, when it decides which endpoints are ready, tells the detector of each, which watches those whose trial waits for a probe. All that makes an endpoint ready goes through there.

--- a/core/src/main/java/spurroad/balancer/BalancerModules.java
+++ b/core/src/main/java/spurroad/balancer/BalancerModules.java
@@ -57,7 +57,7 @@
         discovery = new DiscoveryPolling(random);
         loadProbes = new LoadProbes(deployment, event);
         outlierDetector = new OutlierDetector(deployment, event, loadProbes);
-        endpoints = new EndpointTable(deployment, random, outlierDetector::onReplaced);
+        endpoints = new EndpointTable(deployment, random, outlierDetector);
         idleConnections = new IdleConnections(deployment, event);
         serviceTimes = new ServiceTimeModel(deployment, endpoints);
         peers = new PeerUpdates(deployment, event, this::onLocalUpdate);
--- a/core/src/main/java/spurroad/balancer/endpoint/EndpointTable.java
+++ b/core/src/main/java/spurroad/balancer/endpoint/EndpointTable.java
@@ -7,7 +7,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.function.Consumer;
 import spurroad.balancer.context.ActiveDeployment;
 import spurroad.balancer.context.RandomDraws;
 import spurroad.model.AdminStatus;
@@ -30,7 +29,7 @@
 
     private final ActiveDeployment deployment;
     private final RandomDraws random;
-    private final Consumer<EndpointState> onReplaced;
+    private final OutlierDetector outlierDetector;
     private final Map<EndpointId, EndpointState> endpoints = new LinkedHashMap<>();
     private final Set<EndpointId> drained = new HashSet<>();
     private final Set<EndpointId> awaitingFirstRequest = new LinkedHashSet<>();
@@ -38,12 +37,11 @@
     private EndpointState origin;
     private Ring ring;
 
-    /** Creates an empty table, which notifies its listener of each state that a new incarnation replaces. */
-    public EndpointTable(ActiveDeployment deployment, RandomDraws random,
-                         Consumer<EndpointState> onReplaced) {
+    /** Creates an empty table, which tells outlier detection of its changes. */
+    public EndpointTable(ActiveDeployment deployment, RandomDraws random, OutlierDetector outlierDetector) {
         this.deployment = deployment;
         this.random = random;
-        this.onReplaced = onReplaced;
+        this.outlierDetector = outlierDetector;
     }
 
     /** Returns the state of an endpoint, or null if it is not known. */
@@ -141,7 +139,7 @@
         EndpointState started = new EndpointState(endpoint, former, returnedNanos, proxyRequests, now);
         endpoints.put(endpoint.id(), started);
         if (former != null) {
-            onReplaced.accept(former);
+            outlierDetector.onReplaced(former);
         }
         return started;
     }
@@ -161,6 +159,7 @@
                 origin = endpoint;
             } else {
                 cacheEndpoints.add(endpoint);
+                outlierDetector.onReady(endpoint);
             }
         }
         ring = null; // built when next needed: a proxy may get more changes than requests
--- a/core/src/main/java/spurroad/balancer/endpoint/OutlierDetector.java
+++ b/core/src/main/java/spurroad/balancer/endpoint/OutlierDetector.java
@@ -52,10 +52,20 @@
     }
 
     /** Stops watching a former incarnation. */
-    public void onReplaced(EndpointState former) {
+    void onReplaced(EndpointState former) {
         watched.remove(former);
     }
 
+    /**
+     * Watches a ready cache endpoint again whose trial waits for a load probe: what is not ready gets none
+     * and is not watched, and nothing else would have the probe sent once it is ready.
+     */
+    void onReady(EndpointState endpoint) {
+        if (endpoint.outlier().needsProbe()) {
+            watched.add(endpoint);
+        }
+    }
+
     /** Records that an endpoint replied to an attempt, whatever the outcome. */
     public void onReply(EndpointState endpoint) {
         endpoint.outlier().onReply(event.now());
--- a/core/src/test/java/spurroad/balancer/OutlierDetectorTest.java
+++ b/core/src/test/java/spurroad/balancer/OutlierDetectorTest.java
@@ -77,7 +77,15 @@
         assertTrue(probedWithinSeconds(fixture, 10).contains(failing));
     }
 
-    /** Draining for a while under one start time must not end the wait for the load probe. */
+    /**
+     * Draining for a while under one start time must not end the wait for the load probe.
+     *
+     * <p>An endpoint was ejected, then listed as draining for 0.1 s and as ready again. No load probe went
+     * there in the next 10 s, and without one its trial never began: the proxy was without the endpoint until
+     * its restart. The check stops watching an idle endpoint that is not ready, and only an attempt or
+     * another ejection watched it again, neither of which an ejected endpoint gets. That is the cause: {@code
+     * probesAnEjectedEndpoint}, the same without the drain, has always passed.
+     */
     @Test
     public void probesAnEjectedEndpointThatDrainedMeanwhile() {
         BalancerFixture fixture = BalancerFixture.of(5, false);
