A reload that forbids load probes leaves no ejected endpoint waiting for one

What callers saw: nothing at once; an endpoint that was ejected before the reload got no request in 60 s after it (control without the reload: back).

Cause: whether a trial waits for an answered load probe was decided at the ejection, by the settings of that moment (settings().loadProbesAllowed()), while the sender asks sendsLoadProbes() at each sending. After the reload nobody sends what the trial waits for.

Mend: the detector asks sendsLoadProbes() each time it asks for a trial, so that waiting and sending can't differ.

--- a/core/src/main/java/spurroad/balancer/endpoint/OutlierDetector.java
+++ b/core/src/main/java/spurroad/balancer/endpoint/OutlierDetector.java
@@ -61,11 +61,19 @@
      * and is not watched, and nothing else would have the probe sent once it is ready.
      */
     void onReady(EndpointState endpoint) {
-        if (endpoint.outlier().needsProbe()) {
+        if (awaitsLoadProbe(endpoint)) {
             watched.add(endpoint);
         }
     }
 
+    /**
+     * Returns whether an endpoint's trial waits for a load probe to be answered. Asked anew each time: a
+     * reload may forbid load probes while an endpoint waits for one, which then nobody would send.
+     */
+    private boolean awaitsLoadProbe(EndpointState endpoint) {
+        return endpoint.outlier().awaitsProbe(deployment.sendsLoadProbes());
+    }
+
     /** Records that an endpoint replied to an attempt, whatever the outcome. */
     public void onReply(EndpointState endpoint) {
         endpoint.outlier().onReply(event.now());
@@ -74,7 +82,8 @@
     /** Returns whether outlier detection lets an endpoint take a request now. */
     public boolean allows(EndpointState endpoint, boolean idempotent) {
         OutlierState outlier = endpoint.outlier();
-        if (outlier.isEjected(event.now()) || !outlier.trialAllows(idempotent)) {
+        if (outlier.isEjected(event.now())
+            || !outlier.trialAllows(idempotent, deployment.sendsLoadProbes())) {
             return false;
         }
         return idempotent || !isUnresponsive(endpoint, SUSPECT_MULTIPLE);
@@ -163,8 +172,8 @@
         return nextCheckNanos;
     }
 
-    private static boolean needsWatching(EndpointState endpoint) {
-        return !endpoint.isIdle() || (endpoint.outlier().needsProbe() && endpoint.isReady());
+    private boolean needsWatching(EndpointState endpoint) {
+        return !endpoint.isIdle() || (awaitsLoadProbe(endpoint) && endpoint.isReady());
     }
 
     private List<EndpointState> findUnresponsive() {
@@ -175,7 +184,7 @@
             if (isUnresponsive(endpoint, multiple)) {
                 unresponsive.add(endpoint);
             } else if (isUnresponsive(endpoint, SUSPECT_MULTIPLE)
-                || (outlier.needsProbe() && !outlier.isEjected(event.now()))) {
+                || (awaitsLoadProbe(endpoint) && !outlier.isEjected(event.now()))) {
                 loadProbes.send(endpoint);
             }
         }
@@ -192,7 +201,7 @@
     }
 
     private void eject(EndpointState endpoint) {
-        endpoint.outlier().eject(event.now(), deployment.settings().loadProbesAllowed());
+        endpoint.outlier().eject(event.now());
         event.decisions().adminStatusChanged = true;
         watched.add(endpoint);
     }
--- a/core/src/main/java/spurroad/balancer/endpoint/OutlierState.java
+++ b/core/src/main/java/spurroad/balancer/endpoint/OutlierState.java
@@ -6,9 +6,9 @@
  * What outlier detection knows of one endpoint: its failures, and how far it is from ordinary use.
  *
  * <p>An ejected endpoint gets nothing for its ejection time, which doubles each time up to a bound. After
- * that, and once a load probe has been answered, it gets a trial batch of one request; a batch that ends well
- * is followed by one twice as large, until it is ordinary again. Invariant: {@code trialRequestsLeft} only
- * matters while {@code trialBatch} is above zero.
+ * that, and once a load probe has been answered where such are sent, it gets a trial batch of one request; a
+ * batch that ends well is followed by one twice as large, until it is ordinary again. Invariant:
+ * {@code trialRequestsLeft} only matters while {@code trialBatch} is above zero.
  */
 public final class OutlierState {
     private static final long BASE_EJECTION_NANOS = 500_000_000L; // short beside the faults that were seen
@@ -41,15 +41,15 @@
     }
 
     /** Returns whether its trial waits for a load probe to be answered. */
-    boolean needsProbe() {
-        return isOnTrial() && !confirmedByProbe;
+    boolean awaitsProbe(boolean probesSent) {
+        return probesSent && isOnTrial() && !confirmedByProbe;
     }
 
     /**
      * Returns whether a trial, if there is one, has a request left for this; only idempotent ones are risked.
      */
-    boolean trialAllows(boolean idempotent) {
-        return !isOnTrial() || (idempotent && trialRequestsLeft > 0 && confirmedByProbe);
+    boolean trialAllows(boolean idempotent, boolean probesSent) {
+        return !isOnTrial() || (idempotent && trialRequestsLeft > 0 && !awaitsProbe(probesSent));
     }
 
     /** Returns whether a load probe has failed since it last replied. */
@@ -111,11 +111,11 @@
         trialRequestsLeft = Math.max(1, trialRequestsLeft);
     }
 
-    /** Ejects it; its trial then waits for an answered load probe, where such probes are sent. */
-    void eject(long now, boolean loadProbesAllowed) {
+    /** Ejects it; where load probes are sent, its trial then waits for one to be answered. */
+    void eject(long now) {
         ejectedUntilNanos = now + ejectionNanos;
         ejectionNanos = Math.min(MAX_EJECTION_NANOS, 2 * ejectionNanos);
-        confirmedByProbe = !loadProbesAllowed;
+        confirmedByProbe = false;
         trialBatch = 1;
         trialRequestsLeft = 1;
         trialSuccesses = 0;
--- a/core/src/test/java/spurroad/balancer/BalancerFixture.java
+++ b/core/src/test/java/spurroad/balancer/BalancerFixture.java
@@ -108,6 +108,12 @@
         return decisions;
     }
 
+    Decisions changeDeployment(Deployment next) {
+        decisions.clear();
+        balancer.onDeploymentChange(nowNanos, next, decisions);
+        return decisions;
+    }
+
     Decisions failDiscovery() {
         decisions.clear();
         balancer.onDiscoveryFailure(nowNanos, decisions);
--- a/core/src/test/java/spurroad/balancer/OutlierDetectorTest.java
+++ b/core/src/test/java/spurroad/balancer/OutlierDetectorTest.java
@@ -15,6 +15,7 @@
 import java.util.Set;
 import org.testng.annotations.Test;
 import spurroad.model.Decisions;
+import spurroad.model.Deployment;
 import spurroad.model.EndpointPhase;
 import spurroad.model.Outcome;
 
@@ -96,6 +97,41 @@
         assertTrue(probedWithinSeconds(fixture, 10).contains(failing), "never probed, so never back");
     }
 
+    /**
+     * A reload that forbids load probes must not leave an ejected endpoint waiting for one.
+     *
+     * <p>Whether a trial waits for a probe was decided once, at the ejection. After the reload nobody sent
+     * the probe, and the endpoint was not used again in 60 s of requests.
+     */
+    @Test
+    public void returnsAnEjectedEndpointAfterAReloadThatForbidsLoadProbes() {
+        BalancerFixture fixture = BalancerFixture.of(5, false);
+        long failing = eject(fixture);
+        fixture.changeDeployment(withLoadProbes(fixture.deployment, false));
+        assertTrue(isUsedWithinSeconds(fixture, failing, 10), "never back");
+    }
+
+    private static Deployment withLoadProbes(Deployment current, boolean allowed) {
+        return new Deployment(current.requestClasses(), current.tenantQuotasPerSecond(), current.originKind(),
+            current.pollsDiscovery(), allowed, current.cancellationAllowed(), current.maxRetryAfterNanos(),
+            current.maxAttempts(), current.slowStartInitialFraction(), current.slowStartNanos(),
+            current.clockTickNanos(), current.idleTimeoutNanos(), current.fleet());
+    }
+
+    /** Sends a successful request each 50 ms; returns whether the endpoint got one. */
+    private static boolean isUsedWithinSeconds(BalancerFixture fixture, long endpoint, int seconds) {
+        for (int i = 0; i < 20 * seconds; i++) {
+            fixture.advance(50);
+            long id = 1_000 + i;
+            long target = fixture.targetOf(id, READ, KEY);
+            fixture.endAttempt(id, 0, Outcome.SUCCEEDED);
+            if (target == endpoint) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     private static Set<Long> probedWithinSeconds(BalancerFixture fixture, int seconds) {
         Set<Long> probed = new HashSet<>();
         for (int i = 0; i < 20 * seconds; i++) {
--- a/core/src/test/java/spurroad/balancer/endpoint/OutlierStateTest.java
+++ b/core/src/test/java/spurroad/balancer/endpoint/OutlierStateTest.java
@@ -21,7 +21,7 @@
     public void doublesTheEjectionTimeUpToABound(int times, long lastMs) {
         OutlierState state = new OutlierState();
         for (int i = 0; i < times; i++) {
-            state.eject(START_NANOS, true);
+            state.eject(START_NANOS);
         }
         assertTrue(state.isEjected(START_NANOS + lastMs * MS - 1));
         assertFalse(state.isEjected(START_NANOS + lastMs * MS));
@@ -29,41 +29,41 @@
 
     @Test
     public void waitsForALoadProbeOnlyWhereProbesAreSent() {
-        OutlierState probed = new OutlierState();
-        probed.eject(START_NANOS, true);
-        assertTrue(probed.needsProbe());
-        assertFalse(probed.trialAllows(true));
-        probed.onProbeSuccess();
-        assertTrue(probed.trialAllows(true));
-        OutlierState notProbed = new OutlierState();
-        notProbed.eject(START_NANOS, false);
-        assertTrue(notProbed.trialAllows(true));
+        OutlierState state = new OutlierState();
+        state.eject(START_NANOS);
+        assertTrue(state.awaitsProbe(true));
+        assertFalse(state.trialAllows(true, true));
+        assertFalse(state.awaitsProbe(false));
+        assertTrue(state.trialAllows(true, false));
+        state.onProbeSuccess();
+        assertFalse(state.awaitsProbe(true));
+        assertTrue(state.trialAllows(true, true));
     }
 
     @Test
     public void allowsOnlyIdempotentRequestsInATrial() {
         OutlierState state = new OutlierState();
-        assertTrue(state.trialAllows(false));
-        state.eject(START_NANOS, false);
-        assertFalse(state.trialAllows(false));
+        assertTrue(state.trialAllows(false, false));
+        state.eject(START_NANOS);
+        assertFalse(state.trialAllows(false, false));
     }
 
     @Test
     public void doublesTrialBatchesUntilTheTrialEnds() {
         OutlierState state = new OutlierState();
-        state.eject(START_NANOS, false);
+        state.eject(START_NANOS);
         for (int batch : new int[] {1, 2, 4, 8}) {
             for (int i = 0; i < batch; i++) {
-                assertTrue(state.trialAllows(true), "request " + i + " of " + batch);
+                assertTrue(state.trialAllows(true, false), "request " + i + " of " + batch);
                 state.onAttemptStart();
             }
-            assertFalse(state.trialAllows(true), "a batch of " + batch + " is used up");
+            assertFalse(state.trialAllows(true, false), "a batch of " + batch + " is used up");
             for (int i = 0; i < batch; i++) {
                 state.onSuccess(START_NANOS);
             }
         }
         assertFalse(state.isOnTrial());
-        state.eject(START_NANOS, false);
+        state.eject(START_NANOS);
         assertFalse(state.isEjected(START_NANOS + 500 * MS), "the ejection time starts over");
     }
 
@@ -71,7 +71,7 @@
     public void extendsAnEjectionAfterAFailedProbe() {
         OutlierState state = new OutlierState();
         assertFalse(state.onProbeFailure(START_NANOS), "it is not ejected");
-        state.eject(START_NANOS, true);
+        state.eject(START_NANOS);
         assertTrue(state.onProbeFailure(START_NANOS + 400 * MS));
         assertTrue(state.isEjected(START_NANOS + 1300 * MS));
         assertTrue(state.hasFailedProbe());
@@ -86,7 +86,7 @@
         state.onFailure(START_NANOS);
         assertEquals(state.failureCount(START_NANOS), 2.0);
         assertEquals(state.failureRate(START_NANOS), 1.0);
-        state.eject(START_NANOS, true);
+        state.eject(START_NANOS);
         assertEquals(state.failureCount(START_NANOS), 0.0);
     }
 }
