Gossip that is switched on ends the trial of an ejected endpoint

What callers saw: nothing in the proxy, whose place in the fleet is that of its start. A host of the module that reloads other settings would lose an ejected endpoint.

Cause: with gossip the detector is not told how attempts end and no load probe is sent, yet a trial from before still bound what the endpoint got.

Mend: with gossip the detector allows each endpoint, as its own comment says that it is off then.

--- a/core/src/main/java/spurroad/balancer/endpoint/OutlierDetector.java
+++ b/core/src/main/java/spurroad/balancer/endpoint/OutlierDetector.java
@@ -81,6 +81,9 @@
 
     /** Returns whether outlier detection lets an endpoint take a request now. */
     public boolean allows(EndpointState endpoint, boolean idempotent) {
+        if (deployment.gossipEnabled()) {
+            return true; // nobody tells it how attempts end, so a trial from before a reload would not go on
+        }
         OutlierState outlier = endpoint.outlier();
         if (outlier.isEjected(event.now())
             || !outlier.trialAllows(idempotent, deployment.sendsLoadProbes())) {
--- a/core/src/test/java/spurroad/balancer/OutlierDetectorTest.java
+++ b/core/src/test/java/spurroad/balancer/OutlierDetectorTest.java
@@ -17,6 +17,7 @@
 import spurroad.model.Decisions;
 import spurroad.model.Deployment;
 import spurroad.model.EndpointPhase;
+import spurroad.model.Fleet;
 import spurroad.model.Outcome;
 
 /** Which endpoints are ejected, and how they return. */
@@ -111,6 +112,22 @@
         assertTrue(isUsedWithinSeconds(fixture, failing, 10), "never back");
     }
 
+    /**
+     * With gossip the detector is off, and so is an ejection from before.
+     *
+     * <p>The detector is not told how attempts end where there is gossip, and no load probe is sent. An
+     * endpoint that was ejected before gossip was switched on got its one trial request at most.
+     */
+    @Test
+    public void usesAnEjectedEndpointOnceGossipIsSwitchedOn() {
+        BalancerFixture fixture = BalancerFixture.of(5, false);
+        long failing = eject(fixture);
+        fixture.changeDeployment(fixture.deployment.withFleet(new Fleet(null, 0, 1, true)));
+        for (int i = 0; i < 3; i++) {
+            assertTrue(isUsedWithinSeconds(fixture, failing, 10), "request " + i);
+        }
+    }
+
     private static Deployment withLoadProbes(Deployment current, boolean allowed) {
         return new Deployment(current.requestClasses(), current.tenantQuotasPerSecond(), current.originKind(),
             current.pollsDiscovery(), allowed, current.cancellationAllowed(), current.maxRetryAfterNanos(),
