A trial request whose client leaves does not use up the endpoint's trial

What callers saw: nothing at once; an endpoint that had been ejected and was well again got no request from this proxy until its restart, if the client of its one trial request left. Clients that leave early are ordinary.

Cause: the attempt is cancelled, its end tells nothing of the endpoint and AttemptFeedback passes it to nobody, so onInconclusiveEnd was not called: trialRequestsLeft stayed 0 with nothing in flight that could have changed it. The same holds for NOT_SENT. Shown by a unit test: not used in 10 s of requests, each 50 ms, that all succeed.

Mend: what was the last attempt in flight leaves a trial one request, however it ended, so no path of ends can lose it.

--- a/core/src/main/java/spurroad/balancer/endpoint/EndpointState.java
+++ b/core/src/main/java/spurroad/balancer/endpoint/EndpointState.java
@@ -136,6 +136,9 @@
     /** Takes out an attempt that has ended. */
     public void onAttemptEnd(Attempt attempt) {
         inFlight.remove(attempt);
+        if (inFlight.isEmpty()) {
+            outlier.onIdle();
+        }
     }
 
     /**
--- a/core/src/main/java/spurroad/balancer/endpoint/OutlierState.java
+++ b/core/src/main/java/spurroad/balancer/endpoint/OutlierState.java
@@ -7,8 +7,9 @@
  *
  * <p>An ejected endpoint gets nothing for its ejection time, which doubles each time up to a bound. After
  * that, and once a load probe has been answered where such are sent, it gets a trial batch of one request; a
- * batch that ends well is followed by one twice as large, until it is ordinary again. Invariant:
- * {@code trialRequestsLeft} only matters while {@code trialBatch} is above zero.
+ * batch that ends well is followed by one twice as large, until it is ordinary again. Invariants:
+ * {@code trialRequestsLeft} only matters while {@code trialBatch} is above zero, and then it is above zero
+ * whenever no attempt is in flight.
  */
 public final class OutlierState {
     private static final long BASE_EJECTION_NANOS = 500_000_000L; // short beside the faults that were seen
@@ -106,6 +107,14 @@
         }
     }
 
+    /**
+     * With nothing in flight a trial has a request left to go on with, however its attempts ended: one that
+     * was cancelled because its client left tells nothing, and nothing else would begin.
+     */
+    void onIdle() {
+        trialRequestsLeft = Math.max(1, trialRequestsLeft);
+    }
+
     /** What ended without telling anything of the endpoint leaves a trial one request to go on with. */
     void onInconclusiveEnd() {
         trialRequestsLeft = Math.max(1, trialRequestsLeft);
--- a/core/src/test/java/spurroad/balancer/OutlierDetectorTest.java
+++ b/core/src/test/java/spurroad/balancer/OutlierDetectorTest.java
@@ -128,6 +128,25 @@
         }
     }
 
+    /**
+     * A trial request whose client leaves must not use up the trial.
+     *
+     * <p>A trial begins with one request. Where its client left, the attempt was cancelled and its end said
+     * nothing of the endpoint, so that it was passed to nobody: no request was left for the trial and none in
+     * flight that could have gone on with it. The endpoint was not used again.
+     */
+    @Test
+    public void returnsAnEjectedEndpointWhoseTrialRequestWasCancelled() {
+        BalancerFixture fixture = BalancerFixture.of(5, false);
+        long failing = eject(fixture);
+        fixture.advance(1_000);
+        fixture.endLoadProbe(failing, Outcome.SUCCEEDED, 0);
+        assertEquals(fixture.targetOf(100, READ, KEY), failing, "the trial request");
+        fixture.disconnectClient(100);
+        fixture.endAttempt(100, 0, Outcome.CANCELLED);
+        assertTrue(isUsedWithinSeconds(fixture, failing, 10), "never back");
+    }
+
     private static Deployment withLoadProbes(Deployment current, boolean allowed) {
         return new Deployment(current.requestClasses(), current.tenantQuotasPerSecond(), current.originKind(),
             current.pollsDiscovery(), allowed, current.cancellationAllowed(), current.maxRetryAfterNanos(),
