A property: healthy endpoints get requests again, whatever happened before

Random orders of what may take away what an endpoint waits for: it fails, falls silent, heals, drains, goes, comes back, starts anew, staff drain or return it, clients leave, load probes or gossip are switched.

--- /dev/null
+++ b/core/src/test/java/spurroad/balancer/EndpointReturnProperties.java
@@ -0,0 +1,49 @@
+package spurroad.balancer;
+
+import static org.testng.Assert.assertTrue;
+
+import java.util.List;
+import net.jqwik.api.Arbitraries;
+import net.jqwik.api.Arbitrary;
+import net.jqwik.api.Combinators;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.Provide;
+import spurroad.balancer.EndpointReturnFixture.Change;
+import spurroad.balancer.EndpointReturnFixture.Event;
+
+/**
+ * Whatever befalls endpoints, a healthy one that discovery lists as ready and staff have not drained gets
+ * requests again.
+ *
+ * <p>An ejected endpoint waits for one event, such as the reply to a load probe. Other events can take away
+ * what would bring that one: the endpoint drains, goes, starts anew, is drained by staff, the settings
+ * change, clients leave. An endpoint was then lost to the proxy for as long as the proxy ran
+ * (docs/incidents/ejected-endpoint-never-back.md).
+ */
+class EndpointReturnProperties {
+    private static final int MAX_EVENTS = 25;
+    private static final int MAX_PAUSE_MILLIS = 1_500;
+    /**
+     * The longest ejection (4 s), the longest of a probe that had not failed yet (0.1 s) with the ejection
+     * that it prolongs (4 s), a check (0.05 s), and the warm-up of the fixture's endpoints (8 s).
+     */
+    private static final int RETURN_MILLIS = 16_200;
+
+    @Provide
+    Arbitrary<List<Event>> events() {
+        Arbitrary<Change> changes = Arbitraries.of(Change.class);
+        Arbitrary<Integer> endpoints = Arbitraries.integers().between(0, EndpointReturnFixture.ENDPOINTS - 1);
+        Arbitrary<Integer> pauses = Arbitraries.integers().between(0, MAX_PAUSE_MILLIS);
+        return Combinators.combine(changes, endpoints, pauses).as(Event::new).list().ofMaxSize(MAX_EVENTS);
+    }
+
+    @Property(tries = 400, seed = "20261203")
+    void healthyEndpointsGetRequestsAgain(@ForAll("events") List<Event> events) {
+        EndpointReturnFixture fixture = new EndpointReturnFixture();
+        fixture.play(events);
+        fixture.healAndList();
+        List<Integer> unused = fixture.unusedWithin(RETURN_MILLIS);
+        assertTrue(unused.isEmpty(), "no request to " + unused + " after " + events);
+    }
+}
