A former incarnation of an endpoint counts as removed

What was seen: an attempt that ends after its endpoint has started anew may eject the state of the former incarnation. The load balancer then woke up each 50 ms for as long as it ran. By reading: a request that waits for load replies and has the former state among its candidates was sent by the warmth of the former process, so a cold one could get it.

Cause: a replaced state kept its listing, so that isReady stayed true; the probe that it waited for is answered to the new state alone.

Mend: a replaced state is listed as removed, which ends all that asks isReady.

--- a/core/src/main/java/spurroad/balancer/endpoint/EndpointTable.java
+++ b/core/src/main/java/spurroad/balancer/endpoint/EndpointTable.java
@@ -139,6 +139,8 @@
         EndpointState started = new EndpointState(endpoint, former, returnedNanos, proxyRequests, now);
         endpoints.put(endpoint.id(), started);
         if (former != null) {
+            // what still refers to it, as attempts in flight do, must not take it for the one that is listed
+            former.setListing(former.listing().withoutListing());
             outlierDetector.onReplaced(former);
         }
         return started;
--- a/core/src/test/java/spurroad/balancer/OutlierDetectorTest.java
+++ b/core/src/test/java/spurroad/balancer/OutlierDetectorTest.java
@@ -147,6 +147,30 @@
         assertTrue(isUsedWithinSeconds(fixture, failing, 10), "never back");
     }
 
+    /**
+     * A former incarnation is watched by nobody.
+     *
+     * <p>An attempt that ends after its endpoint has started anew may eject the state of the former
+     * incarnation. That still counted as ready and waited for a probe whose reply goes to the new one: it was
+     * checked each 50 ms for as long as the proxy ran.
+     */
+    @Test
+    public void doesNotWatchAFormerIncarnation() {
+        BalancerFixture fixture = BalancerFixture.of(5, false);
+        long replaced = fixture.targetOf(1, READ, KEY);
+        for (long id = 2; id < 10; id++) {
+            fixture.request(id, READ, KEY);
+        }
+        fixture.updateEndpoint(replaced, EndpointPhase.READY, fixture.nowNanos);
+        for (long id = 1; id < 10; id++) {
+            fixture.endAttempt(id, 0, Outcome.FAILED);
+            fixture.endAttempt(id, 1, Outcome.SUCCEEDED);
+        }
+        fixture.advance(10_000);
+        fixture.advance(10_000);
+        assertTrue(fixture.decisions.wakeAtNanos > fixture.nowNanos + 1_000 * MS, "still checked");
+    }
+
     private static Deployment withLoadProbes(Deployment current, boolean allowed) {
         return new Deployment(current.requestClasses(), current.tenantQuotasPerSecond(), current.originKind(),
             current.pollsDiscovery(), allowed, current.cancellationAllowed(), current.maxRetryAfterNanos(),
