A returned endpoint waits for its first request also while it is not ready

What callers saw: where few requests come, an endpoint that staff returned to use, and that discovery took out for a moment before its first request, stood unused: its own keys may not be among the requests for long.

Cause: refresh() ended the wait for a first request of what was not ready, and nothing began it again.

Mend: the wait ends with the first request, a drain by staff, or when the endpoint is forgotten; only a ready one is due.

--- a/core/src/main/java/spurroad/balancer/endpoint/EndpointTable.java
+++ b/core/src/main/java/spurroad/balancer/endpoint/EndpointTable.java
@@ -149,8 +149,8 @@
     /** Recomputes what follows from discovery, administrative states and the deployment. */
     public void refresh() {
         endpoints.values().forEach(known -> known.admin().setDrained(drained.contains(known.id())));
-        awaitingFirstRequest.removeIf(id -> !endpoints.get(id).isReady());
         endpoints.values().removeIf(this::isForgettable);
+        awaitingFirstRequest.retainAll(endpoints.keySet()); // also what is not ready for a while
         cacheEndpoints = new ArrayList<>();
         origin = null;
         for (EndpointState endpoint : endpoints.values()) {
@@ -177,12 +177,12 @@
         return !awaitingFirstRequest.isEmpty();
     }
 
-    /** Returns the endpoints that were returned by staff and whose first request is due, the oldest first. */
+    /** Returns the ready endpoints that staff returned and whose first request is due, the oldest first. */
     public List<EndpointState> firstRequestsDue(long now) {
         List<EndpointState> due = new ArrayList<>();
         for (EndpointId id : awaitingFirstRequest) {
             EndpointState endpoint = endpoints.get(id);
-            if (endpoint.admin().isFirstRequestDue(now)) {
+            if (endpoint.isReady() && endpoint.admin().isFirstRequestDue(now)) {
                 due.add(endpoint);
             }
         }
--- a/core/src/test/java/spurroad/balancer/AdminDrainTest.java
+++ b/core/src/test/java/spurroad/balancer/AdminDrainTest.java
@@ -145,6 +145,55 @@
         assertTrue(wasSent, "within 5 s");
     }
 
+    /** What may befall an endpoint between its return by staff and its first request. */
+    @DataProvider
+    Object[][] interruptions() {
+        return new Object[][] {{EndpointPhase.DRAINING, false}, {EndpointPhase.REMOVED, false},
+            {EndpointPhase.REMOVED, true}};
+    }
+
+    /**
+     * An endpoint that staff returned gets its first request within seconds, also if discovery took it out
+     * for a moment or its process started anew meanwhile.
+     *
+     * <p>The wait for a first request ended once the endpoint was not ready, and nothing began it again. In a
+     * quiet hour the endpoint then stood unused, as if staff had not returned it.
+     */
+    @Test(dataProvider = "interruptions")
+    public void sendsAReturnedEndpointAFirstRequestThoughItWasNotReadyMeanwhile(EndpointPhase phase,
+                                                                                boolean startsAnew) {
+        BalancerFixture fixture = BalancerFixture.of(NODES, false);
+        long key = keyOfAnother(fixture, 3);
+        fixture.setDrained(3, true);
+        fixture.nowNanos += 10_000 * MS;
+        fixture.setDrained(3, false);
+        fixture.updateEndpoint(3, phase, 0);
+        fixture.advance(100);
+        fixture.updateEndpoint(3, EndpointPhase.READY, startsAnew ? fixture.nowNanos : 0);
+        assertTrue(isSentWithinFiveSeconds(fixture, 3, key), "within 5 s");
+    }
+
+    private static long keyOfAnother(BalancerFixture fixture, long endpoint) {
+        long key = 1;
+        while (fixture.targetOf(key, READ, key) == endpoint) {
+            fixture.endAttempt(key, 0, Outcome.SUCCEEDED);
+            key++;
+        }
+        fixture.endAttempt(key, 0, Outcome.SUCCEEDED);
+        return key;
+    }
+
+    /** One request a second. */
+    private static boolean isSentWithinFiveSeconds(BalancerFixture fixture, long endpoint, long key) {
+        boolean wasSent = false;
+        for (int i = 0; i < 5 && !wasSent; i++) {
+            fixture.nowNanos += 1_000 * MS;
+            wasSent = fixture.targetOf(5_000 + i, READ, key) == endpoint;
+            fixture.endAttempt(5_000 + i, 0, Outcome.SUCCEEDED);
+        }
+        return wasSent;
+    }
+
     @Test
     public void appliesFewerAttemptsToPendingRequestsThatKeepTheirClass() {
         BalancerFixture fixture = BalancerFixture.of(6, false);
