A new start keeps the turn of an endpoint's first request after its return

What was seen: an endpoint that staff return waits for a first request in this proxy's turn among all, 0.5 s apart. If its process started anew meanwhile, the first request was due at once at every proxy: a cold endpoint gets one from each of them at the same moment.

Cause: the state of the new incarnation kept when staff returned the endpoint but not its turn, whose default of 0 counts as due.

Mend: the turn goes over to the new state.

--- a/core/src/main/java/spurroad/balancer/endpoint/AdminState.java
+++ b/core/src/main/java/spurroad/balancer/endpoint/AdminState.java
@@ -15,8 +15,15 @@
     private boolean drained;
     private long firstRequestFromNanos;
 
-    AdminState(long returnedNanos) {
+    /**
+     * Begins the state of an incarnation.
+     *
+     * @param former state of the incarnation before, or null; a turn for a first request is kept, else all
+     *     proxies would send theirs once they hear of the new start
+     */
+    AdminState(long returnedNanos, AdminState former) {
         this.returnedNanos = returnedNanos;
+        firstRequestFromNanos = former == null ? 0 : former.firstRequestFromNanos;
     }
 
     /** Returns when staff returned it to use, in nanoseconds; zero where they never did. */
--- a/core/src/main/java/spurroad/balancer/endpoint/EndpointState.java
+++ b/core/src/main/java/spurroad/balancer/endpoint/EndpointState.java
@@ -39,7 +39,7 @@
     EndpointState(Endpoint endpoint, EndpointState former, long returnedNanos, double proxyRequests,
                   long now) {
         this.listing = endpoint;
-        admin = new AdminState(returnedNanos);
+        admin = new AdminState(returnedNanos, former == null ? null : former.admin);
         // at a drained one the requests are long ago, and none fell to it since
         double homeRequestsBefore = former == null || former.admin.isDrained() ? 0
             : former.slowStart.homeRequests(now);
--- a/core/src/test/java/spurroad/balancer/AdminDrainTest.java
+++ b/core/src/test/java/spurroad/balancer/AdminDrainTest.java
@@ -1,6 +1,7 @@
 package spurroad.balancer;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
 import static org.testng.Assert.assertTrue;
 import static spurroad.balancer.BalancerFixture.MS;
 import static spurroad.balancer.BalancerFixture.READ;
@@ -11,9 +12,11 @@
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 import spurroad.model.Decisions;
+import spurroad.model.DeduplicationScope;
 import spurroad.model.Deployment;
 import spurroad.model.EndpointId;
 import spurroad.model.EndpointPhase;
+import spurroad.model.Fleet;
 import spurroad.model.Outcome;
 
 /**
@@ -173,6 +176,21 @@
         assertTrue(isSentWithinFiveSeconds(fixture, 3, key), "within 5 s");
     }
 
+    /** A first request has its turn among the proxies, so that a returned endpoint is not sent one by all. */
+    @Test
+    public void keepsTheTurnOfAFirstRequestOverANewStart() {
+        Fleet fleet = new Fleet(null, 0, 1_000, false);
+        BalancerFixture fixture = new BalancerFixture(false, DeduplicationScope.ALL, 7, fleet);
+        fixture.updateEndpoints(true, BalancerFixture.endpoints(NODES, false));
+        long key = keyOfAnother(fixture, 3);
+        fixture.setDrained(3, true);
+        fixture.nowNanos += 10_000 * MS;
+        fixture.setDrained(3, false);
+        fixture.advance(100);
+        fixture.updateEndpoint(3, EndpointPhase.READY, fixture.nowNanos);
+        assertFalse(isSentWithinFiveSeconds(fixture, 3, key), "one of 1,000 proxies, in 500 s");
+    }
+
     private static long keyOfAnother(BalancerFixture fixture, long endpoint) {
         long key = 1;
         while (fixture.targetOf(key, READ, key) == endpoint) {
