Staff can tell what an ejected endpoint waits for

Change: the status lists each ejected endpoint with the event that it waits for. proxy.ejected counts those that wait for a probe too. New metrics proxy.ejected_awaiting_probe and proxy.ejected_on_trial, new log line "ejected endpoints changed". While any is ejected the status is renewed each second, as progress after an ejection is no event of its own.

--- a/core/src/main/java/spurroad/balancer/LoadBalancer.java
+++ b/core/src/main/java/spurroad/balancer/LoadBalancer.java
@@ -176,7 +176,7 @@
 
     /** Returns the administrative status of the cache endpoints, as of the last event. */
     public AdminStatus adminStatus() {
-        return endpoints.adminStatus(event.now());
+        return endpoints.adminStatus();
     }
 
     /** Returns how many endpoints are known, also those that have gone. */
--- a/core/src/main/java/spurroad/balancer/endpoint/EndpointTable.java
+++ b/core/src/main/java/spurroad/balancer/endpoint/EndpointTable.java
@@ -10,6 +10,8 @@
 import spurroad.balancer.context.ActiveDeployment;
 import spurroad.balancer.context.RandomDraws;
 import spurroad.model.AdminStatus;
+import spurroad.model.AdminStatus.AwaitedEvent;
+import spurroad.model.AdminStatus.RestrictedEndpoint;
 import spurroad.model.Endpoint;
 import spurroad.model.EndpointId;
 import spurroad.model.EndpointPhase;
@@ -195,16 +197,22 @@
     }
 
     /** Returns the administrative status of the cache endpoints. */
-    public AdminStatus adminStatus(long now) {
-        List<EndpointState> listed = endpoints.values().stream()
-            .filter(known -> known.listing().phase() != EndpointPhase.REMOVED)
-            .filter(known -> !deployment.settings().isOrigin(known.listing())).toList();
-        long[] unavailableUntil = listed.stream().mapToLong(EndpointTable::unavailableUntilNanos)
-            .filter(until -> until > now).toArray();
-        return new AdminStatus(listed.size(), unavailableUntil);
-    }
-
-    private static long unavailableUntilNanos(EndpointState endpoint) {
-        return endpoint.admin().isDrained() ? Long.MAX_VALUE : endpoint.outlier().ejectedUntilNanos();
+    public AdminStatus adminStatus() {
+        int listed = 0;
+        List<RestrictedEndpoint> restricted = new ArrayList<>();
+        for (EndpointState endpoint : endpoints.values()) {
+            boolean isListed = endpoint.listing().phase() != EndpointPhase.REMOVED;
+            if (!isListed || deployment.settings().isOrigin(endpoint.listing())) {
+                continue;
+            }
+            listed++;
+            RestrictedEndpoint restriction = endpoint.admin().isDrained()
+                ? new RestrictedEndpoint(endpoint.id(), AwaitedEvent.RETURN_BY_STAFF, Long.MAX_VALUE)
+                : outlierDetector.restriction(endpoint);
+            if (restriction != null) {
+                restricted.add(restriction);
+            }
+        }
+        return new AdminStatus(listed, restricted);
     }
 }
--- a/core/src/main/java/spurroad/balancer/endpoint/OutlierDetector.java
+++ b/core/src/main/java/spurroad/balancer/endpoint/OutlierDetector.java
@@ -7,6 +7,8 @@
 import spurroad.balancer.context.ActiveDeployment;
 import spurroad.balancer.context.EventContext;
 import spurroad.balancer.statistics.DecayingAverage;
+import spurroad.model.AdminStatus.AwaitedEvent;
+import spurroad.model.AdminStatus.RestrictedEndpoint;
 import spurroad.model.Outcome;
 
 /**
@@ -92,6 +94,23 @@
         return idempotent || !isUnresponsive(endpoint, SUSPECT_MULTIPLE);
     }
 
+    /** Returns what an endpoint that is ejected or on trial waits for now; null for another one. */
+    RestrictedEndpoint restriction(EndpointState endpoint) {
+        OutlierState outlier = endpoint.outlier();
+        if (deployment.gossipEnabled()) {
+            return null;
+        }
+        if (outlier.isEjected(event.now())) {
+            return new RestrictedEndpoint(endpoint.id(), AwaitedEvent.EJECTION_END,
+                outlier.ejectedUntilNanos());
+        }
+        if (awaitsLoadProbe(endpoint)) {
+            return new RestrictedEndpoint(endpoint.id(), AwaitedEvent.LOAD_PROBE_REPLY, Long.MAX_VALUE);
+        }
+        return outlier.isOnTrial()
+            ? new RestrictedEndpoint(endpoint.id(), AwaitedEvent.TRIAL_SUCCESS, Long.MAX_VALUE) : null;
+    }
+
     /**
      * Learns from an attempt's end at a cache endpoint.
      *
--- a/core/src/test/java/spurroad/balancer/DecisionTrace.java
+++ b/core/src/test/java/spurroad/balancer/DecisionTrace.java
@@ -9,6 +9,8 @@
 import java.security.NoSuchAlgorithmException;
 import java.util.HexFormat;
 import spurroad.model.AdminStatus;
+import spurroad.model.AdminStatus.AwaitedEvent;
+import spurroad.model.AdminStatus.RestrictedEndpoint;
 import spurroad.model.Decisions;
 import spurroad.model.PeerUpdate;
 
@@ -78,8 +80,10 @@
 
     void adminStatus(AdminStatus status) {
         line.append("N ").append(status.listedEndpoints());
-        for (long until : status.unavailableUntilNanos()) {
-            line.append(' ').append(until);
+        for (RestrictedEndpoint endpoint : status.restricted()) {
+            boolean hasEnd = endpoint.awaits() == AwaitedEvent.EJECTION_END
+                || endpoint.awaits() == AwaitedEvent.RETURN_BY_STAFF;
+            line.append(hasEnd ? " " + endpoint.untilNanos() : "");
         }
         end();
     }
--- a/core/src/test/java/spurroad/balancer/OutlierDetectorTest.java
+++ b/core/src/test/java/spurroad/balancer/OutlierDetectorTest.java
@@ -14,6 +14,9 @@
 import java.util.List;
 import java.util.Set;
 import org.testng.annotations.Test;
+import spurroad.model.AdminStatus;
+import spurroad.model.AdminStatus.AwaitedEvent;
+import spurroad.model.AdminStatus.RestrictedEndpoint;
 import spurroad.model.Decisions;
 import spurroad.model.Deployment;
 import spurroad.model.EndpointPhase;
@@ -171,6 +174,28 @@
         assertTrue(fixture.decisions.wakeAtNanos > fixture.nowNanos + 1_000 * MS, "still checked");
     }
 
+    /** Staff can tell what an ejected endpoint waits for, and one that waits for a probe is not in use. */
+    @Test
+    public void tellsWhatAnEjectedEndpointWaitsFor() {
+        BalancerFixture fixture = BalancerFixture.of(5, false);
+        long failing = eject(fixture);
+        assertAwaits(fixture, AwaitedEvent.EJECTION_END, 1);
+        fixture.advance(1_000);
+        assertAwaits(fixture, AwaitedEvent.LOAD_PROBE_REPLY, 1);
+        fixture.endLoadProbe(failing, Outcome.SUCCEEDED, 0);
+        assertAwaits(fixture, AwaitedEvent.TRIAL_SUCCESS, 0);
+        assertTrue(isUsedWithinSeconds(fixture, failing, 1));
+        fixture.setDrained(failing, true);
+        assertAwaits(fixture, AwaitedEvent.RETURN_BY_STAFF, 1);
+    }
+
+    private static void assertAwaits(BalancerFixture fixture, AwaitedEvent event, int unavailable) {
+        AdminStatus status = fixture.balancer.adminStatus();
+        assertEquals(status.restricted().stream().map(RestrictedEndpoint::awaits).toList(), List.of(event));
+        assertEquals(status.awaiting(event), 1);
+        assertEquals(status.unavailableAt(fixture.nowNanos), unavailable, "unavailable");
+    }
+
     private static Deployment withLoadProbes(Deployment current, boolean allowed) {
         return new Deployment(current.requestClasses(), current.tenantQuotasPerSecond(), current.originKind(),
             current.pollsDiscovery(), allowed, current.cancellationAllowed(), current.maxRetryAfterNanos(),
--- a/proxy/src/main/java/spurroad/program/ProxyMetrics.java
+++ b/proxy/src/main/java/spurroad/program/ProxyMetrics.java
@@ -5,6 +5,7 @@
 import spurroad.admin.StatsdExport;
 import spurroad.admin.StatsdExport.Metric;
 import spurroad.admin.StatsdExport.MetricType;
+import spurroad.model.AdminStatus.AwaitedEvent;
 import spurroad.routing.LoadBalancerThread;
 import spurroad.routing.OutcomeStatistics;
 import spurroad.transport.Clock;
@@ -22,7 +23,13 @@
             .gauge("ejected", () -> loadBalancer.adminStatus().unavailableAt(clock.now()))
             .counter("rule_violations", loadBalancer::ruleViolations)
             .counter("sighup_applied", reload::appliedCount)
-            .counter("sighup_rejected", reload::rejectedCount);
+            .counter("sighup_rejected", reload::rejectedCount)
+            .gauge("ejected_awaiting_probe", () -> awaiting(loadBalancer, AwaitedEvent.LOAD_PROBE_REPLY))
+            .gauge("ejected_on_trial", () -> awaiting(loadBalancer, AwaitedEvent.TRIAL_SUCCESS));
+    }
+
+    private static int awaiting(LoadBalancerThread loadBalancer, AwaitedEvent event) {
+        return loadBalancer.adminStatus().awaiting(event);
     }
 
     private static List<Metric> byRequestClass(OutcomeStatistics outcomes) {
--- a/proxy/src/main/java/spurroad/routing/DecisionExecutor.java
+++ b/proxy/src/main/java/spurroad/routing/DecisionExecutor.java
@@ -50,7 +50,8 @@
     private LoadBalancerThread.DiscoveryPoller discoveryPoller;
     private PeerGossip peerGossip;
     private long wakeAtNanos = Long.MAX_VALUE;
-    private volatile AdminStatus adminStatus = new AdminStatus(0, new long[0]);
+    private final EndpointStatusLog statusLog;
+    private volatile AdminStatus adminStatus = AdminStatus.NONE;
 
     /**
      * Creates an executor that has decided nothing yet.
@@ -71,6 +72,7 @@
         this.stalls = stalls;
         this.unroutableProbe = unroutableProbe;
         this.settings = settings;
+        statusLog = new EndpointStatusLog(id -> String.valueOf(endpoints.pool(id)), log::info);
     }
 
     /** To be called before the thread starts. */
@@ -93,7 +95,7 @@
         return wakeAtNanos;
     }
 
-    /** The endpoints' administrative state as of its last change; from any thread. */
+    /** The endpoints' administrative status, less than a second after it has changed; from any thread. */
     AdminStatus adminStatus() {
         return adminStatus;
     }
@@ -107,10 +109,11 @@
     /** Carries out what was decided since {@link #cleared()}. */
     void execute() {
         wakeAtNanos = decisions.wakeAtNanos;
-        if (decisions.adminStatusChanged) {
+        long now = clock.now();
+        if (decisions.adminStatusChanged || statusLog.isRenewalDue(now)) {
             adminStatus = balancer.adminStatus();
+            statusLog.onStatus(adminStatus, now);
         }
-        long now = clock.now();
         logCounters(now);
         for (Decisions.StartAttempt start : decisions.attemptsToStart) {
             startAttempt(start, now);
--- /dev/null
+++ b/proxy/src/main/java/spurroad/routing/EndpointStatusLog.java
@@ -0,0 +1,70 @@
+package spurroad.routing;
+
+import java.util.List;
+import java.util.function.BiConsumer;
+import java.util.function.Function;
+import java.util.stream.Collectors;
+import spurroad.model.AdminStatus;
+import spurroad.model.AdminStatus.AwaitedEvent;
+import spurroad.model.AdminStatus.RestrictedEndpoint;
+import spurroad.model.EndpointId;
+
+/**
+ * Logs which endpoints are ejected or on trial and what each waits for, whenever that has changed. An
+ * endpoint that waits for what never comes would otherwise be missed by nobody. Used by the load balancer's
+ * thread only.
+ */
+final class EndpointStatusLog {
+    // an endpoint's progress after an ejection is no event of its own
+    private static final long RENEWAL_INTERVAL_NANOS = 1_000_000_000L;
+    private static final int MAX_LOGGED_ENDPOINTS = 8; // of each kind, in one line
+
+    private final Function<EndpointId, String> names;
+    private final BiConsumer<String, String> log;
+    private String lastFields;
+    private boolean anyEjected;
+    private long statusNanos;
+
+    /**
+     * Creates a log of a status without any endpoint.
+     *
+     * @param names gives what staff know an endpoint by
+     * @param log takes a line's fixed phrase and its fields
+     */
+    EndpointStatusLog(Function<EndpointId, String> names, BiConsumer<String, String> log) {
+        this.names = names;
+        this.log = log;
+        lastFields = fields(AdminStatus.NONE);
+    }
+
+    /** Whether the status is to be asked for again, as endpoints that were ejected may have made progress. */
+    boolean isRenewalDue(long now) {
+        return anyEjected && now - statusNanos >= RENEWAL_INTERVAL_NANOS;
+    }
+
+    /** Logs a status that differs from the last one. */
+    void onStatus(AdminStatus status, long now) {
+        statusNanos = now;
+        anyEjected = status.awaiting(AwaitedEvent.RETURN_BY_STAFF) < status.restricted().size();
+        String fields = fields(status);
+        if (!fields.equals(lastFields)) {
+            lastFields = fields;
+            log.accept("ejected endpoints changed", fields);
+        }
+    }
+
+    private String fields(AdminStatus status) {
+        return "waiting=" + describe(status, AwaitedEvent.EJECTION_END)
+            + " awaitingProbe=" + describe(status, AwaitedEvent.LOAD_PROBE_REPLY)
+            + " onTrial=" + describe(status, AwaitedEvent.TRIAL_SUCCESS);
+    }
+
+    private String describe(AdminStatus status, AwaitedEvent event) {
+        List<RestrictedEndpoint> found = status.restricted().stream()
+            .filter(endpoint -> endpoint.awaits() == event).toList();
+        String logged = found.stream().limit(MAX_LOGGED_ENDPOINTS)
+            .map(endpoint -> names.apply(endpoint.id())).collect(Collectors.joining(", "));
+        int left = found.size() - MAX_LOGGED_ENDPOINTS;
+        return "[" + logged + (left > 0 ? ", and " + left + " more" : "") + "]";
+    }
+}
--- a/proxy/src/main/java/spurroad/routing/LoadBalancerThread.java
+++ b/proxy/src/main/java/spurroad/routing/LoadBalancerThread.java
@@ -268,7 +268,7 @@
         return rules.violations();
     }
 
-    /** The endpoints' administrative state as of its last change. */
+    /** The endpoints' administrative status, less than a second after it has changed. */
     public AdminStatus adminStatus() {
         return executor.adminStatus();
     }
