Bytes count as unread since the select that did not report them

What callers saw: on a busy machine an endpoint was told more time than the client had left, by as much as the event loop was held up (112 ms in EventLoopTest beside twelve busy loops on eight cores).

Cause: ReadinessClock took a select of over 1 ms for one that had waited, and the time of its waking up for that of the arrival. A select that finds a channel at once takes as long where its thread waits for a processor.

Mend: the bound is the start of the select before, which would have reported the channel; no duration is looked at. So that the bound stays close on an idle loop, a select waits 5 ms at most. What a read has left counts from the start of the last select, not from after the read.

--- a/proxy/src/main/java/spurroad/transport/EventLoop.java
+++ b/proxy/src/main/java/spurroad/transport/EventLoop.java
@@ -41,6 +41,8 @@
     // read or written in one call, so that one connection does not keep the others waiting
     private static final int TRANSFER_BUFFER_BYTES = 64 * 1024;
     private static final long NANOS_PER_MILLI = 1_000_000L;
+    // bounds by how much what just arrived is taken for older, see ReadinessClock
+    private static final long MAX_SELECT_MILLIS = 5;
     private static final long LOG_FLUSH_TIMEOUT_MILLIS = 200;
     private static final int FAILURE_EXIT_CODE = 70; // EX_SOFTWARE of sysexits.h
 
@@ -70,7 +72,7 @@
     public EventLoop(EventLog log, Clock clock) {
         this.log = log;
         this.clock = clock;
-        readiness = new ReadinessClock(clock);
+        readiness = new ReadinessClock(clock.now());
         try {
             selector = StartupRetry.openWithRetry(Selector::open);
         } catch (IOException e) {
@@ -111,6 +113,11 @@
         return readiness.earliestReadyNanos();
     }
 
+    /** Returns when the last select began, in Unix nanoseconds. */
+    long lastSelectNanos() {
+        return readiness.lastSelectNanos();
+    }
+
     /** Returns the clock's time, in Unix nanoseconds. */
     public long now() {
         return clock.now();
@@ -158,23 +165,21 @@
 
     private void select() throws IOException {
         long now = clock.now();
-        readiness.onIterationStart(now);
+        readiness.onSelectStart(now);
         long delayNanos = timers.nanosUntilFirst(now);
         isSelecting.set(true);
         if (!tasks.isEmpty() || delayNanos <= 0 || !afterSelectTasks.isEmpty()) {
             isSelecting.set(false);
-            readiness.beforePoll();
             selector.selectNow(onKeyReady);
         } else {
-            readiness.beforeBlockingSelect();
             selector.select(onKeyReady, selectTimeoutMillis(delayNanos));
-            readiness.afterBlockingSelect();
         }
     }
 
-    /** Returns the delay rounded up, so that the timer is due when the select ends; zero for no timeout. */
+    /** Returns the delay rounded up, so that a timer that is due next is so when the select ends. */
     private static long selectTimeoutMillis(long delayNanos) {
-        return delayNanos == Long.MAX_VALUE ? 0 : (delayNanos + NANOS_PER_MILLI - 1) / NANOS_PER_MILLI;
+        long cappedNanos = Math.min(delayNanos, MAX_SELECT_MILLIS * NANOS_PER_MILLI);
+        return (cappedNanos + NANOS_PER_MILLI - 1) / NANOS_PER_MILLI;
     }
 
     private void runAfterSelectTasks() {
@@ -200,7 +205,6 @@
     }
 
     private void onKeyReady(SelectionKey key) {
-        readiness.onChannelReady();
         try {
             if (key.isValid()) {
                 ((ReadyHandler) key.attachment()).onReady(key.readyOps());
--- a/proxy/src/main/java/spurroad/transport/ReadArrivalTracker.java
+++ b/proxy/src/main/java/spurroad/transport/ReadArrivalTracker.java
@@ -35,7 +35,8 @@
         if (mayHaveLeftBytes) {
             unreadSinceNanos = earliestArrivalNanos;
         } else {
-            unreadSinceNanos = isReading ? NOTHING_UNREAD : loop.now();
+            // not from now: after the read the loop may have been held up before it came here
+            unreadSinceNanos = isReading ? NOTHING_UNREAD : loop.lastSelectNanos();
         }
     }
 
--- a/proxy/src/main/java/spurroad/transport/ReadinessClock.java
+++ b/proxy/src/main/java/spurroad/transport/ReadinessClock.java
@@ -3,63 +3,33 @@
 /**
  * Bounds since when a channel that the selector reports as ready can have been so.
  *
- * <p>After a select that did not block, the bound is the time of the select before it. After one that
- * blocked, nothing was ready when it began, so the bound is the time at which it woke up; only where it
- * returned almost at once may the channel have been ready before it. Event loop thread only.
+ * <p>The bound is the time at which the select before began: that one would have reported the channel had it
+ * been ready then. It holds however long this process was held up since, between two selects or while it woke
+ * up from one. How long a select takes tells nothing: on a busy machine one that finds a channel at once can
+ * take as long as one that waited for it. Event loop thread only.
  */
 final class ReadinessClock {
-    // a select that blocked for less may have found channels that were ready before it began
-    private static final long MIN_BLOCKED_NANOS = 1_000_000L;
-
-    private final Clock clock;
-    private long iterationStartNanos;
     private long lastSelectNanos;
     private long earliestReadyNanos;
-    private boolean isBlockedInSelect;
-
-    ReadinessClock(Clock clock) {
-        this.clock = clock;
-        lastSelectNanos = clock.now();
-        earliestReadyNanos = lastSelectNanos;
-    }
 
-    /** Notes that an iteration of the loop begins. */
-    void onIterationStart(long nowNanos) {
-        iterationStartNanos = nowNanos;
+    ReadinessClock(long nowNanos) {
+        lastSelectNanos = nowNanos;
+        earliestReadyNanos = nowNanos;
     }
 
-    /** Notes that a select follows that does not block. */
-    void beforePoll() {
+    /** Notes that a select is about to begin, whether it waits or not. */
+    void onSelectStart(long nowNanos) {
         earliestReadyNanos = lastSelectNanos;
-        lastSelectNanos = iterationStartNanos;
-    }
-
-    /** Notes that a select follows that may block. */
-    void beforeBlockingSelect() {
-        isBlockedInSelect = true;
-    }
-
-    /** Notes that the selector reports a channel; only the first one after a blocking select counts. */
-    void onChannelReady() {
-        if (isBlockedInSelect) {
-            isBlockedInSelect = false;
-            long now = clock.now();
-            earliestReadyNanos = now - iterationStartNanos < MIN_BLOCKED_NANOS ? lastSelectNanos : now;
-            lastSelectNanos = now;
-        }
-    }
-
-    /** Notes the end of a select that may have blocked, with or without a ready channel. */
-    void afterBlockingSelect() {
-        if (isBlockedInSelect) {
-            isBlockedInSelect = false;
-            lastSelectNanos = clock.now();
-            earliestReadyNanos = lastSelectNanos;
-        }
+        lastSelectNanos = nowNanos;
     }
 
     /** Returns since when, at the earliest, the channels being worked can have been ready. */
     long earliestReadyNanos() {
         return earliestReadyNanos;
     }
+
+    /** Returns when the last select began: what is not found unread now comes later than that. */
+    long lastSelectNanos() {
+        return lastSelectNanos;
+    }
 }
--- a/proxy/src/test/java/spurroad/transport/EventLoopTest.java
+++ b/proxy/src/test/java/spurroad/transport/EventLoopTest.java
@@ -62,7 +62,15 @@
         loop.shutdown();
     }
 
-    /** Such bytes were taken for just arrived, and so was the end of a client that had disconnected. */
+    /**
+     * Such bytes were taken for just arrived, and so was the end of a client that had disconnected.
+     *
+     * <p>A select that took over 1 ms counted as one that had waited, so that what it found counted as having
+     * come when it woke up. On a busy machine a select that finds a channel at once took 3 to 11 ms, as its
+     * thread had to wait for a processor: beside twelve busy loops on eight cores the bytes counted as 112 ms
+     * younger than they were, and an endpoint was told that much more time than the client had left. How long
+     * a select takes can't tell the two apart; what the select before it did not report can.
+     */
     @Test
     public void whatCameWhileTheLoopWasHeldUpHasStoodUnread() throws Exception {
         EventLoop loop = new EventLoop(log, new Clock());
