Clients behind a taken-over accept queue count from their own coming

What callers saw: at a restart on an inherited socket each client that came before the queue had been empty once was refused at once.

Cause: all in the queue counted as having waited since it was last found empty, for a socket that was taken over as long as can be. A queue that fills as fast as it empties is never found empty.

Mend: the queue is first in, first out, and Linux tells its length, so who comes behind as many as were queued at a moment has come after it. It is read at the start and each 0.1 s of a queue that does not get empty, never where it does. The same mends a socket of its own without a free descriptor: 100 of 100 clients counted as queued since it was last empty, now the 5 that were.

--- /dev/null
+++ b/proxy/src/main/java/spurroad/transport/AcceptQueueLength.java
@@ -0,0 +1,69 @@
+package spurroad.transport;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.OptionalInt;
+
+/**
+ * Reads how many connections the system has queued for a listening socket, from Linux's {@code /proc/net/tcp}
+ * and {@code tcp6} (proc(5)): there the receive queue of a listening socket is the length of its accept
+ * queue. Both files list the listening sockets first, so little is read.
+ */
+final class AcceptQueueLength {
+    private static final String LISTENING_STATE = "0A";
+    private static final int LOCAL_ADDRESS_FIELD = 1; // hexadecimal ADDRESS:PORT
+    private static final int STATE_FIELD = 3;
+    private static final int QUEUES_FIELD = 4; // hexadecimal SEND:RECEIVE
+    private static final int FIELDS_READ = 5;
+
+    private final Path ipv4Sockets;
+    private final Path ipv6Sockets;
+
+    AcceptQueueLength() {
+        this(Path.of("/proc/self/net/tcp"), Path.of("/proc/self/net/tcp6"));
+    }
+
+    AcceptQueueLength(Path ipv4Sockets, Path ipv6Sockets) {
+        this.ipv4Sockets = ipv4Sockets;
+        this.ipv6Sockets = ipv6Sockets;
+    }
+
+    /**
+     * Returns how many connections are queued for a local port, at least: where several sockets listen at it,
+     * for all of them together. Empty where the system doesn't tell.
+     */
+    OptionalInt read(int port) {
+        OptionalInt ipv4 = read(ipv4Sockets, port);
+        OptionalInt ipv6 = read(ipv6Sockets, port);
+        if (ipv4.isEmpty() && ipv6.isEmpty()) {
+            return OptionalInt.empty();
+        }
+        return OptionalInt.of(ipv4.orElse(0) + ipv6.orElse(0));
+    }
+
+    private static OptionalInt read(Path sockets, int port) {
+        OptionalInt length = OptionalInt.empty();
+        try (BufferedReader lines = Files.newBufferedReader(sockets, StandardCharsets.US_ASCII)) {
+            lines.readLine(); // the heading
+            for (String line = lines.readLine(); line != null; line = lines.readLine()) {
+                String[] fields = line.strip().split("\\s+", FIELDS_READ + 1);
+                if (fields.length < FIELDS_READ || !fields[STATE_FIELD].equals(LISTENING_STATE)) {
+                    break;
+                }
+                if (lastHexadecimal(fields[LOCAL_ADDRESS_FIELD]) == port) {
+                    length = OptionalInt.of(length.orElse(0) + lastHexadecimal(fields[QUEUES_FIELD]));
+                }
+            }
+            return length;
+        } catch (IOException | NumberFormatException e) {
+            return OptionalInt.empty();
+        }
+    }
+
+    private static int lastHexadecimal(String pair) {
+        return Integer.parseInt(pair.substring(pair.indexOf(':') + 1), 16);
+    }
+}
--- a/proxy/src/main/java/spurroad/transport/Listener.java
+++ b/proxy/src/main/java/spurroad/transport/Listener.java
@@ -64,7 +64,8 @@
     // a socket that nobody accepted from: longer than any client waits
     private static final long UNKNOWN_QUEUE_TIME_NANOS = 2 * 3_600_000_000_000L;
     private static final long QUIET_PERIOD_NANOS = 20_000_000L; // without a connection, before the close
-    private static final long QUEUE_EMPTY = Long.MAX_VALUE;
+    // between two looks at a queue that does not get empty: what has just come counts as queued for that long
+    private static final long QUEUE_CHECK_INTERVAL_NANOS = 100_000_000L;
 
     private final ServerSocketChannel socket;
     private final Acceptor acceptor;
@@ -73,6 +74,7 @@
     private final ConnectionPermits permits;
     private final AcceptHandler handler;
     private final EventLog log;
+    private final AcceptQueueLength queueLength = new AcceptQueueLength();
     private final CountDownLatch closed = new CountDownLatch(1);
 
     // the event loop thread's own
@@ -80,8 +82,8 @@
     private State state = State.ACCEPTING;
     private boolean isAwaitingPermit;
     private int consecutiveFailures;
-    /** Since when, at the earliest, connections may be in the accept queue, in Unix nanoseconds. */
-    private long queuedSinceNanos;
+    private AcceptQueueClock queueClock;
+    private long queueCheckedNanos;
 
     /**
      * Binds a socket of its own, which it closes at the end.
@@ -104,7 +106,7 @@
     public Listener(ServerSocketChannel inherited, boolean shared, EventLoop loop, ConnectionPermits permits,
                     AcceptHandler handler, EventLog log) {
         this(inherited, inherited::accept, false, loop, permits, handler, log);
-        queuedSinceNanos = shared ? queuedSinceNanos : loop.now() - UNKNOWN_QUEUE_TIME_NANOS;
+        queueClock = new AcceptQueueClock(loop.now() - (shared ? 0 : UNKNOWN_QUEUE_TIME_NANOS));
     }
 
     private Listener(ServerSocketChannel bound, EventLoop loop, ConnectionPermits permits,
@@ -122,7 +124,7 @@
         this.permits = permits;
         this.handler = handler;
         this.log = log;
-        queuedSinceNanos = loop.now(); // the system queues connections from now on
+        queueClock = new AcceptQueueClock(loop.now()); // the system queues connections from now on
     }
 
     private static ServerSocketChannel bind(InetSocketAddress address) throws IOException {
@@ -158,6 +160,7 @@
             loop.schedule(MAX_BACKOFF_NANOS, () -> register(onStarted));
             return;
         }
+        checkQueueLength(); // who comes from now on has not waited behind those of before
         acceptQueued(); // before it is known to accept: connections that follow were not queued
         onStarted.run();
     }
@@ -165,7 +168,12 @@
     // ---- accepting
 
     private void acceptQueued() {
-        queuedSinceNanos = Math.min(queuedSinceNanos, loop.earliestArrivalNanos());
+        if (queueClock.wasEmpty()) {
+            queueCheckedNanos = loop.now(); // it is looked at only where it does not get empty again
+        } else if (loop.now() - queueCheckedNanos >= QUEUE_CHECK_INTERVAL_NANOS) {
+            checkQueueLength();
+        }
+        queueClock.onReady(loop.earliestArrivalNanos());
         for (int i = 0; i < MAX_ACCEPTS_PER_ITERATION && key.isValid(); i++) {
             Permit permit = acquirePermit();
             if (permit == Permit.NONE) {
@@ -180,6 +188,11 @@
         }
     }
 
+    private void checkQueueLength() {
+        queueCheckedNanos = loop.now();
+        queueClock.onLength(queueLength.read(port()), queueCheckedNanos);
+    }
+
     /** Takes a permit; one for overflow only if the handler freed none since the last time it was asked. */
     private Permit acquirePermit() {
         if (permits.tryAcquire()) {
@@ -199,12 +212,13 @@
             accepted = accepted == null ? acceptor.accept() : accepted; // a signal looks like an empty queue
             if (accepted == null) {
                 permits.release(overflow);
-                queuedSinceNanos = QUEUE_EMPTY;
+                queueClock.onEmpty();
                 return false;
             }
             consecutiveFailures = 0;
-            Connection connection = Connection.accepted(loop, accepted, queuedSinceNanos,
+            Connection connection = Connection.accepted(loop, accepted, queueClock.queuedSinceNanos(),
                 () -> permits.release(overflow));
+            queueClock.onAccepted();
             handler.onAccepted(connection, overflow);
             return true;
         } catch (IOException e) {
--- a/proxy/src/test/java/spurroad/transport/ListenerTest.java
+++ b/proxy/src/test/java/spurroad/transport/ListenerTest.java
@@ -30,6 +30,11 @@
     private static final long TIMEOUT_SECONDS = 20;
     private static final long CLOSE_TIMEOUT_MILLIS = 2_000;
     private static final int MORE_THAN_AN_ITERATION = 40; // the listener accepts 16 in one
+    private static final int QUEUED_CLIENTS = 5;
+    private static final int CLIENTS_PER_SECOND = 50;
+    private static final int SECONDS_NEVER_EMPTY = 2;
+    // the clients before one wait for 5 / 50 s, and its place in the queue is known to 0.1 s; doubled
+    private static final long MAX_QUEUE_TIME_NANOS = 400_000_000L;
     private static final String CAUSE = "Too many open files in system";
 
     private final EventLog log = new EventLog();
@@ -175,7 +180,15 @@
         socket.close();
     }
 
-    /** Who comes once it accepts has not waited, however many came before it and are not accepted yet. */
+    /**
+     * Who comes once it accepts has not waited, however many came before it and are not accepted yet.
+     *
+     * <p>At a takeover nothing tells for how long connections were queued, so they count as having waited for
+     * longer than any client does, and their requests are refused. The listener counted so until it had found
+     * the queue empty once. Under load it was not empty for up to 244 ms after a hot restart, and up to 211
+     * clients that came in that time were refused; without a free descriptor it never is. The queue is first
+     * in, first out, and the system tells its length: who comes behind so many has come since.
+     */
     @Test
     public void whoComesOnceItAcceptsHasNotWaitedBehindMany() throws Exception {
         ServerSocketChannel socket = bound();
@@ -205,6 +218,58 @@
         }
     }
 
+    /**
+     * The same where the queue is never empty, as there is no descriptor for all who come: clients that have
+     * just come don't count as queued since the queue was last empty.
+     */
+    @Test
+    public void whoComesToAQueueThatIsNeverEmptyHasNotWaitedSinceItWas() throws Exception {
+        ServerSocketChannel socket = bound();
+        QueueTimes queueTimes = new QueueTimes();
+        Semaphore released = new Semaphore(0);
+        List<Socket> clients = new ArrayList<>();
+        CountDownLatch started = new CountDownLatch(1);
+        try {
+            for (int i = 0; i < QUEUED_CLIENTS; i++) {
+                clients.add(connect(socket));
+            }
+            Listener listener = new Listener(socket, false, loop, new ScarcePermits(released), queueTimes,
+                log);
+            listener.start(started::countDown);
+            assertTrue(started.await(TIMEOUT_SECONDS, TimeUnit.SECONDS), "not started");
+            long queuedForLong = 0;
+            for (int i = 0; i < SECONDS_NEVER_EMPTY * CLIENTS_PER_SECOND; i++) {
+                clients.add(connect(socket));
+                released.release();
+                queuedForLong += queueTimes.next() > MAX_QUEUE_TIME_NANOS ? 1 : 0;
+                Thread.sleep(1_000 / CLIENTS_PER_SECOND);
+            }
+            assertEquals(queuedForLong, QUEUED_CLIENTS, "those who came before it accepted");
+            listener.stopAccepting();
+        } finally {
+            for (Socket client : clients) {
+                client.close();
+            }
+            socket.close();
+        }
+    }
+
+    /** A permit for each that is released, and none for overflow. */
+    private record ScarcePermits(Semaphore released) implements Listener.ConnectionPermits {
+        @Override
+        public boolean tryAcquire() {
+            return released.tryAcquire();
+        }
+
+        @Override
+        public boolean tryAcquireOverflow() {
+            return false;
+        }
+
+        @Override
+        public void release(boolean overflow) {}
+    }
+
     /** A client that has connected and sent a byte. */
     private static Socket connect(ServerSocketChannel of) {
         try {
