A loop that is held up is told by the select before, an idle one by its waits

Now a select waits 20 ms at most, and the loop of the second address without a bound. EventLoopTest's row holds as before.

--- a/proxy/src/main/java/spurroad/admin/AdminServer.java
+++ b/proxy/src/main/java/spurroad/admin/AdminServer.java
@@ -32,7 +32,7 @@
     /** Starts to listen; until {@link #setRoutes} each response says that the proxy does not serve yet. */
     public AdminServer(InetSocketAddress address, Threads threads, EventLog log, Clock clock)
         throws IOException {
-        loop = new EventLoop(log, clock);
+        loop = EventLoop.withoutArrivalTimes(log, clock);
         listener = new Listener(address, loop, new ConnectionLimit(), this, log);
         threads.start("admin server", loop);
         listener.start(() -> {});
--- a/proxy/src/main/java/spurroad/transport/EventLoop.java
+++ b/proxy/src/main/java/spurroad/transport/EventLoop.java
@@ -41,8 +41,6 @@
     // read or written in one call, so that one connection does not keep the others waiting
     private static final int TRANSFER_BUFFER_BYTES = 64 * 1024;
     private static final long NANOS_PER_MILLI = 1_000_000L;
-    // bounds by how much what just arrived is taken for older, see ReadinessClock
-    private static final long MAX_SELECT_MILLIS = 5;
     private static final long LOG_FLUSH_TIMEOUT_MILLIS = 200;
     private static final int FAILURE_EXIT_CODE = 70; // EX_SOFTWARE of sysexits.h
 
@@ -59,6 +57,7 @@
     final ByteBuffer writeBuffer = ByteBuffer.allocateDirect(TRANSFER_BUFFER_BYTES);
     private final TimerQueue timers = new TimerQueue();
     private final ReadinessClock readiness;
+    private final long maxWaitNanos;
     private final List<Runnable> iterationEndTasks = new ArrayList<>();
     private List<Runnable> afterSelectTasks = new ArrayList<>();
     private final Consumer<SelectionKey> onKeyReady = this::onKeyReady;
@@ -70,9 +69,14 @@
      * @throws UncheckedIOException if the system gives no selector, even after some retries
      */
     public EventLoop(EventLog log, Clock clock) {
+        this(log, clock, ReadinessClock.MAX_WAIT_NANOS);
+    }
+
+    private EventLoop(EventLog log, Clock clock, long maxWaitNanos) {
         this.log = log;
         this.clock = clock;
-        readiness = new ReadinessClock(clock.now());
+        this.maxWaitNanos = maxWaitNanos;
+        readiness = new ReadinessClock(clock);
         try {
             selector = StartupRetry.openWithRetry(Selector::open);
         } catch (IOException e) {
@@ -80,6 +84,15 @@
         }
     }
 
+    /**
+     * Opens a loop that wakes up only when there is something to do; what it tells of arrivals is no bound.
+     *
+     * @throws UncheckedIOException if the system gives no selector, even after some retries
+     */
+    public static EventLoop withoutArrivalTimes(EventLog log, Clock clock) {
+        return new EventLoop(log, clock, Long.MAX_VALUE);
+    }
+
     // ---- from any thread
 
     /** Runs a task on the event loop thread, after all that were added before. */
@@ -165,21 +178,22 @@
 
     private void select() throws IOException {
         long now = clock.now();
-        readiness.onSelectStart(now);
         long delayNanos = timers.nanosUntilFirst(now);
         isSelecting.set(true);
-        if (!tasks.isEmpty() || delayNanos <= 0 || !afterSelectTasks.isEmpty()) {
+        boolean waits = tasks.isEmpty() && delayNanos > 0 && afterSelectTasks.isEmpty();
+        readiness.onSelectStart(now, waits);
+        if (waits) {
+            selector.select(onKeyReady, selectTimeoutMillis(Math.min(delayNanos, maxWaitNanos)));
+            readiness.onWakeUp();
+        } else {
             isSelecting.set(false);
             selector.selectNow(onKeyReady);
-        } else {
-            selector.select(onKeyReady, selectTimeoutMillis(delayNanos));
         }
     }
 
-    /** Returns the delay rounded up, so that a timer that is due next is so when the select ends. */
+    /** Returns the delay rounded up, so that the timer is due when the select ends; zero for no timeout. */
     private static long selectTimeoutMillis(long delayNanos) {
-        long cappedNanos = Math.min(delayNanos, MAX_SELECT_MILLIS * NANOS_PER_MILLI);
-        return (cappedNanos + NANOS_PER_MILLI - 1) / NANOS_PER_MILLI;
+        return delayNanos == Long.MAX_VALUE ? 0 : (delayNanos + NANOS_PER_MILLI - 1) / NANOS_PER_MILLI;
     }
 
     private void runAfterSelectTasks() {
@@ -205,6 +219,7 @@
     }
 
     private void onKeyReady(SelectionKey key) {
+        readiness.onWakeUp();
         try {
             if (key.isValid()) {
                 ((ReadyHandler) key.attachment()).onReady(key.readyOps());
--- a/proxy/src/main/java/spurroad/transport/ReadinessClock.java
+++ b/proxy/src/main/java/spurroad/transport/ReadinessClock.java
@@ -3,24 +3,51 @@
 /**
  * Bounds since when a channel that the selector reports as ready can have been so.
  *
- * <p>The bound is the time at which the select before began: that one would have reported the channel had it
- * been ready then. It holds however long this process was held up since, between two selects or while it woke
- * up from one. How long a select takes tells nothing: on a busy machine one that finds a channel at once can
- * take as long as one that waited for it. Event loop thread only.
+ * <p>It can't have been before the select before began, which would have reported it. After a select that did
+ * not wait this is the bound. After one that waited it would be much too early where nothing came for a
+ * while. There the channel counts as ready from the wake-up on if the select before began so short a time ago
+ * that this can't be wrong by more than {@link #MAX_ERROR_NANOS}; else the process was held up, perhaps with
+ * the channel ready all the time. How long the select itself took tells nothing: on a busy machine one that
+ * finds a channel at once may take as long as one that waited for it. Event loop thread only.
  */
 final class ReadinessClock {
-    private long lastSelectNanos;
+    /** A select waits for no longer, so that an idle loop does not look like one that was held up. */
+    static final long MAX_WAIT_NANOS = 20_000_000L;
+    // a third of what an endpoint may be told too much; two waits and their wake-ups take less
+    static final long MAX_ERROR_NANOS = 50_000_000L;
+
+    private final Clock clock;
+    private long selectBeforeNanos;
+    private long selectNanos;
     private long earliestReadyNanos;
+    private boolean isWaiting;
+
+    ReadinessClock(Clock clock) {
+        this.clock = clock;
+        selectNanos = clock.now();
+        selectBeforeNanos = selectNanos;
+        earliestReadyNanos = selectNanos;
+    }
 
-    ReadinessClock(long nowNanos) {
-        lastSelectNanos = nowNanos;
-        earliestReadyNanos = nowNanos;
+    /**
+     * Notes that a select is about to begin.
+     *
+     * @param waits whether it waits for a channel to be ready
+     */
+    void onSelectStart(long nowNanos, boolean waits) {
+        selectBeforeNanos = selectNanos;
+        selectNanos = nowNanos;
+        earliestReadyNanos = selectBeforeNanos;
+        isWaiting = waits;
     }
 
-    /** Notes that a select is about to begin, whether it waits or not. */
-    void onSelectStart(long nowNanos) {
-        earliestReadyNanos = lastSelectNanos;
-        lastSelectNanos = nowNanos;
+    /** Notes that the selector reports a channel, or has reported all. */
+    void onWakeUp() {
+        if (isWaiting) {
+            isWaiting = false;
+            long now = clock.now();
+            earliestReadyNanos = now - selectBeforeNanos <= MAX_ERROR_NANOS ? now : selectBeforeNanos;
+        }
     }
 
     /** Returns since when, at the earliest, the channels being worked can have been ready. */
@@ -30,6 +57,6 @@
 
     /** Returns when the last select began: what is not found unread now comes later than that. */
     long lastSelectNanos() {
-        return lastSelectNanos;
+        return selectNanos;
     }
 }
