A 503 to an operator's call says what holds in this process

What staff saw: with a full restart directory maint answered 503 "not confirmed in time, call again", and the node was drained all the same.

Cause: a call is applied in its process first and answered yes once it is written and all processes have it; the timer that answers 503 after 0.8 s did not know how far the call had come.

Mend: the call's progress sets the text of that answer. Undoing the call was weighed and not taken: the node would get requests that staff forbade. New test of opposite calls to two processes while the directory takes nothing: both agree with the directory within two polls; the last one written wins. Signatures of setDrained and setAdminDrain have one parameter more, which the tests that call them pass as a no-op.

--- a/proxy/src/main/java/spurroad/admin/AdminConnection.java
+++ b/proxy/src/main/java/spurroad/admin/AdminConnection.java
@@ -8,7 +8,7 @@
 import spurroad.transport.EventLoop;
 
 /** One connection to the second address, which carries one request; the thread of its loop owns it. */
-final class AdminConnection implements Connection.Handler {
+final class AdminConnection implements Connection.Handler, AdminResponder {
     private enum State {
         /** The request has not arrived whole. */
         READING,
@@ -28,6 +28,8 @@
     private final Connection connection;
     private final ByteSource in = new ByteSource();
     private final long openedAt;
+    private AdminResponse timeoutResponse = AdminResponse.rejected(Status.UNAVAILABLE,
+        "not confirmed in time, call again");
     private State state = State.READING;
     private EventLoop.Timer timeout;
 
@@ -65,20 +67,29 @@
             }
         } catch (IOException e) {
             state = State.PROCESSING;
-            respond(malformed(e));
+            send(malformed(e));
         }
     }
 
     private void process(AdminRequest request) {
         state = State.PROCESSING;
         if (in.available() > 0) {
-            respond(AdminResponse.rejected(Status.BAD_REQUEST, "expected one call to a connection"));
+            send(AdminResponse.rejected(Status.BAD_REQUEST, "expected one call to a connection"));
             return;
         }
         timeout.cancel();
-        timeout = loop.schedule(RESPONSE_TIMEOUT_NANOS, () -> respond(
-            AdminResponse.rejected(Status.UNAVAILABLE, "not confirmed in time, call again")));
-        server.handle(request, response -> loop.execute(() -> respond(response)));
+        timeout = loop.schedule(RESPONSE_TIMEOUT_NANOS, () -> send(timeoutResponse));
+        server.handle(request, this);
+    }
+
+    @Override
+    public void respond(AdminResponse response) {
+        loop.execute(() -> send(response));
+    }
+
+    @Override
+    public void setTimeoutResponse(AdminResponse response) {
+        loop.execute(() -> timeoutResponse = response);
     }
 
     private static AdminResponse malformed(IOException e) {
@@ -91,7 +102,7 @@
     }
 
     /** Sends the first response; a later one, as of a drain confirmed after its timeout, is ignored. */
-    private void respond(AdminResponse response) {
+    private void send(AdminResponse response) {
         if (state != State.PROCESSING) {
             return;
         }
--- a/proxy/src/main/java/spurroad/admin/AdminRoutes.java
+++ b/proxy/src/main/java/spurroad/admin/AdminRoutes.java
@@ -15,9 +15,11 @@
          * Drains a cache node, or gives it back.
          *
          * @param id the name of the cache node in the endpoint list
-         * @param onResult called once, from any thread, with whether such an endpoint has ever been listed
+         * @param onApplied called, from any thread, once this process does so, if not all do yet
+         * @param onResult called once, from any thread, with whether such an endpoint has ever been listed;
+         *     once all processes do so, if it has
          */
-        void setDrained(String id, boolean drained, Consumer<Boolean> onResult);
+        void setDrained(String id, boolean drained, Runnable onApplied, Consumer<Boolean> onResult);
     }
 
     private static final String HEALTH_PATH = "/healthcheck";
@@ -45,20 +47,20 @@
         this.drainControl = drainControl;
     }
 
-    /** Handles a request; calls back once with the response, later and from any thread where it drains. */
-    void handle(AdminRequest request, Consumer<AdminResponse> onResponse) {
+    /** Handles a request; responds later and from any thread where it drains. */
+    void handle(AdminRequest request, AdminResponder responder) {
         String path = request.path();
         if (path.equals(HEALTH_PATH)) {
-            onResponse.accept(isGet(request) ? health() : expectedMethod("GET", path));
+            responder.respond(isGet(request) ? health() : expectedMethod("GET", path));
         } else if (path.equals(STATS_PATH)) {
-            onResponse.accept(isGet(request) ? AdminResponse.ok(metrics.format())
+            responder.respond(isGet(request) ? AdminResponse.ok(metrics.format())
                 : expectedMethod("GET", path));
         } else if (path.startsWith(CACHE_NODES_PREFIX) && path.endsWith(DRAIN_SUFFIX)) {
-            setDrained(request, true, onResponse);
+            setDrained(request, true, responder);
         } else if (path.startsWith(CACHE_NODES_PREFIX) && path.endsWith(UNDRAIN_SUFFIX)) {
-            setDrained(request, false, onResponse);
+            setDrained(request, false, responder);
         } else {
-            onResponse.accept(AdminResponse.rejected(Status.NOT_FOUND, EXPECTED_PATHS));
+            responder.respond(AdminResponse.rejected(Status.NOT_FOUND, EXPECTED_PATHS));
         }
     }
 
@@ -79,17 +81,18 @@
         return serving.getAsBoolean() ? AdminResponse.ok("serving\n") : notServingYet();
     }
 
-    private void setDrained(AdminRequest request, boolean drained, Consumer<AdminResponse> onResponse) {
+    private void setDrained(AdminRequest request, boolean drained, AdminResponder responder) {
         String id = cacheNodeId(request.path());
         if (!request.method().equals("POST")) {
-            onResponse.accept(expectedMethod("POST", request.path()));
+            responder.respond(expectedMethod("POST", request.path()));
         } else if (id == null) {
-            onResponse.accept(AdminResponse.rejected(Status.BAD_REQUEST, EXPECTED_ID));
+            responder.respond(AdminResponse.rejected(Status.BAD_REQUEST, EXPECTED_ID));
         } else if (!serving.getAsBoolean()) {
-            onResponse.accept(notServingYet());
+            responder.respond(notServingYet());
         } else {
             drainControl.setDrained(id, drained,
-                known -> onResponse.accept(known ? done(id, drained) : unknownCacheNode(id)));
+                () -> responder.setTimeoutResponse(appliedHere(id, drained)),
+                known -> responder.respond(known ? done(id, drained) : unknownCacheNode(id)));
         }
     }
 
@@ -108,6 +111,13 @@
         return AdminResponse.ok(id + (drained ? " gets nothing new\n" : " is used again\n"));
     }
 
+    /** Says what holds where a call is not confirmed in time: the caller may count on it, or undo it. */
+    private static AdminResponse appliedHere(String id, boolean drained) {
+        String state = drained ? " gets nothing new from this process" : " is used again by this process";
+        return AdminResponse.rejected(Status.UNAVAILABLE, id + state + ", but that is not written or not "
+            + "confirmed by all processes yet; it is tried until it is, call again");
+    }
+
     private static AdminResponse unknownCacheNode(String id) {
         return AdminResponse.rejected(Status.NOT_FOUND,
             "expected the id of a cache node that the list has named, not " + id);
--- a/proxy/src/main/java/spurroad/admin/AdminServer.java
+++ b/proxy/src/main/java/spurroad/admin/AdminServer.java
@@ -5,7 +5,6 @@
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
-import java.util.function.Consumer;
 import spurroad.transport.Clock;
 import spurroad.transport.Connection;
 import spurroad.transport.EventLog;
@@ -54,13 +53,13 @@
         loop.shutdown();
     }
 
-    /** Handles a request; calls back once with the response, from any thread. */
-    void handle(AdminRequest request, Consumer<AdminResponse> onResponse) {
+    /** Handles a request; responds from any thread. */
+    void handle(AdminRequest request, AdminResponder responder) {
         AdminRoutes current = routes;
         if (current == null) {
-            onResponse.accept(AdminRoutes.notServingYet());
+            responder.respond(AdminRoutes.notServingYet());
         } else {
-            current.handle(request, onResponse);
+            current.handle(request, responder);
         }
     }
 
--- a/proxy/src/main/java/spurroad/program/AdminOperations.java
+++ b/proxy/src/main/java/spurroad/program/AdminOperations.java
@@ -33,13 +33,14 @@
      * Drains a cache node, or gives it back.
      *
      * @param id the name of the cache node in the endpoint list
+     * @param onApplied called, from any thread, once this process does so, if others have to follow
      * @param onResult called once, from any thread, with whether such an endpoint has ever been listed
      */
-    void setDrained(String id, boolean drained, Consumer<Boolean> onResult) {
+    void setDrained(String id, boolean drained, Runnable onApplied, Consumer<Boolean> onResult) {
         if (hotRestart == null) {
             local.setDrained(id, drained, false, onResult);
         } else {
-            hotRestart.setAdminDrain(id, drained, onResult);
+            hotRestart.setAdminDrain(id, drained, onApplied, onResult);
         }
     }
 }
--- a/proxy/src/main/java/spurroad/program/ProxyService.java
+++ b/proxy/src/main/java/spurroad/program/ProxyService.java
@@ -155,7 +155,7 @@
 
     /** Drains a cache node or gives it back; see {@link AdminOperations#setDrained}. */
     void setDrained(String id, boolean drained, Consumer<Boolean> onResult) {
-        adminOperations.setDrained(id, drained, onResult);
+        adminOperations.setDrained(id, drained, () -> {}, onResult);
     }
 
     /**
--- a/proxy/src/main/java/spurroad/program/restart/AdminDrainStore.java
+++ b/proxy/src/main/java/spurroad/program/restart/AdminDrainStore.java
@@ -84,14 +84,17 @@
     /**
      * Applies an operator's call.
      *
+     * @param onApplied called once this process has applied the call: it holds here from then on, and is
+     *     tried until it is persisted, whatever the operator is told meanwhile
      * @param answer false if there is no such endpoint; true once all processes have applied the call
      */
-    void onAdminCall(String endpointId, boolean drained, Consumer<Boolean> answer) {
+    void onAdminCall(String endpointId, boolean drained, Runnable onApplied, Consumer<Boolean> answer) {
         apply(endpointId, drained, false, known -> {
             if (!known) {
                 answer.accept(false);
                 return;
             }
+            onApplied.run();
             String hash = AdminDrainFormat.endpointHash(endpointId);
             unpersistedByHash.put(hash, new UnpersistedCall(endpointId, drained));
             unconfirmed.add(new UnconfirmedCall(hash, drained, answer));
--- a/proxy/src/main/java/spurroad/program/restart/HotRestart.java
+++ b/proxy/src/main/java/spurroad/program/restart/HotRestart.java
@@ -124,10 +124,12 @@
     /**
      * Applies an operator's call to drain an endpoint or to use it again.
      *
+     * @param onApplied called once this process has applied the call
      * @param answer false if there is no such endpoint; true once all processes have applied the call
      */
-    public void setAdminDrain(String endpointId, boolean drained, Consumer<Boolean> answer) {
-        events.add(() -> drains.onAdminCall(endpointId, drained, answer));
+    public void setAdminDrain(String endpointId, boolean drained, Runnable onApplied,
+                              Consumer<Boolean> answer) {
+        events.add(() -> drains.onAdminCall(endpointId, drained, onApplied, answer));
     }
 
     /** Ends the thread and releases the lock, as the end of the process would; for tests. */
--- a/proxy/src/test/java/spurroad/admin/AdminCallsGoldenTest.java
+++ b/proxy/src/test/java/spurroad/admin/AdminCallsGoldenTest.java
@@ -69,7 +69,8 @@
     private static AdminRoutes routes(boolean serving, Consumer<Consumer<Boolean>> drain) {
         StatsdExport metrics = new StatsdExport().counter("forwards", () -> 8).gauge("outstanding", () -> 3)
             .metrics(() -> List.of(new Metric("results.read.succeeded", 5, MetricType.COUNTER)));
-        return new AdminRoutes(() -> serving, metrics, (id, drained, onResult) -> drain.accept(onResult));
+        return new AdminRoutes(() -> serving, metrics,
+            (id, drained, onApplied, onResult) -> drain.accept(onResult));
     }
 
     /** A request to the admin server of a proxy in a known state. */
--- a/proxy/src/test/java/spurroad/admin/AdminServerTest.java
+++ b/proxy/src/test/java/spurroad/admin/AdminServerTest.java
@@ -53,7 +53,7 @@
     private static AdminRoutes routes(Consumer<Consumer<Boolean>> drain) {
         return new AdminRoutes(() -> true,
             new StatsdExport().gauge("outstanding", () -> 3).counter("forwards", () -> 8),
-            (id, drained, onResult) -> drain.accept(onResult));
+            (id, drained, onApplied, onResult) -> drain.accept(onResult));
     }
 
     @DataProvider
@@ -98,6 +98,22 @@
         }
     }
 
+    /** A "no" says what holds, where this process has applied a call that others have not confirmed. */
+    @Test
+    public void saysWhatHoldsWhereADrainIsAppliedAndNotConfirmed() throws Exception {
+        try (AdminServer server = server()) {
+            server.setRoutes(new AdminRoutes(() -> true, new StatsdExport(),
+                (id, drained, onApplied, onResult) -> onApplied.run()));
+            String drain = call(server.port(), "POST", "/cache-nodes/s-1/maint");
+            assertEquals(status(drain), 503);
+            assertTrue(drain.contains("s-1 gets nothing new from this process, but that is not written"),
+                drain);
+            String undrain = call(server.port(), "POST", "/cache-nodes/s-1/ready");
+            assertEquals(status(undrain), 503);
+            assertTrue(undrain.contains("s-1 is used again by this process, but"), undrain);
+        }
+    }
+
     @Test
     public void respondsWithinASecondWhereADrainIsNotConfirmed() throws Exception {
         try (AdminServer server = server()) {
--- a/proxy/src/test/java/spurroad/program/restart/AdminDrainStoreTest.java
+++ b/proxy/src/test/java/spurroad/program/restart/AdminDrainStoreTest.java
@@ -16,6 +16,7 @@
 import java.util.Queue;
 import java.util.Set;
 import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 import spurroad.transport.EventLog;
 
@@ -30,6 +31,7 @@
     private Queue<Runnable> targetAnswers;
     private List<String> targetCalls;
     private List<Boolean> operatorAnswers;
+    private List<String> applied; // endpoints of calls that this process has applied
     private AdminDrainStore store;
 
     private static final class InMemoryFiles implements AdminDrainStore.Files {
@@ -66,6 +68,7 @@
         targetAnswers = new ArrayDeque<>();
         targetCalls = new ArrayList<>();
         operatorAnswers = new ArrayList<>();
+        applied = new ArrayList<>();
         store = new AdminDrainStore(files, (id, drained, vouched, known) -> {
             targetCalls.add(id + (drained ? " drained" : " used") + (vouched ? " vouched" : ""));
             targetAnswers.add(() -> known.accept(vouched || !id.equals(UNKNOWN_ID)));
@@ -73,7 +76,7 @@
     }
 
     private void call(String endpointId, boolean drained) {
-        store.onAdminCall(endpointId, drained, operatorAnswers::add);
+        store.onAdminCall(endpointId, drained, () -> applied.add(endpointId), operatorAnswers::add);
     }
 
     private void answerFromTarget() {
@@ -128,6 +131,57 @@
         assertFalse(store.hasUnconfirmedCalls());
     }
 
+    /**
+     * The operator may be told what holds: a call that can't be persisted is applied all the same.
+     *
+     * <p>With a full directory the call got a 503 that said nothing of it, and the node was drained.
+     */
+    @Test
+    public void callThatIsNotPersistedYetTellsThatItIsApplied() throws IOException {
+        files.failing = true;
+        call(ID, true);
+        assertEquals(applied, List.of());
+        answerFromTarget();
+        assertEquals(applied, List.of(ID));
+        store.persistCalls();
+        assertThrows(IOException.class, store::applyPersisted);
+        assertEquals(operatorAnswers, List.of());
+        assertEquals(store.drainedHashes(), Set.of(HASH), "it holds here");
+        call(UNKNOWN_ID, true);
+        answerFromTarget();
+        assertEquals(applied, List.of(ID), "no such endpoint, nothing applied");
+    }
+
+    /** Which of two processes persists first, once the directory takes files again. */
+    @DataProvider
+    Object[][] orders() {
+        return new Object[][] {{true}, {false}};
+    }
+
+    /** Two processes that were told the opposite while the directory took nothing agree once it does. */
+    @Test(dataProvider = "orders")
+    public void oppositeCallsToTwoProcessesEndInOneState(boolean drainedFirst) throws IOException {
+        AdminDrainStore other = new AdminDrainStore(files,
+            (id, drained, vouched, known) -> known.accept(true), Runnable::run, new EventLog());
+        files.failing = true;
+        call(ID, true);
+        answerFromTarget();
+        other.onAdminCall(ID, false, () -> {}, known -> {});
+        store.persistCalls();
+        other.persistCalls();
+        files.failing = false;
+        List<AdminDrainStore> inOrder = drainedFirst ? List.of(store, other) : List.of(other, store);
+        for (int polls = 0; polls < 2; polls++) {
+            for (AdminDrainStore each : inOrder) {
+                each.persistCalls();
+                each.applyPersisted();
+                answerFromTarget();
+            }
+        }
+        assertEquals(store.drainedHashes(), other.drainedHashes());
+        assertEquals(store.drainedHashes(), files.endpointIdsByHash.keySet());
+    }
+
     @Test
     public void callThatEndsADrainDeletesItsFile() throws IOException {
         drainAndPersist();
--- a/proxy/src/test/java/spurroad/program/restart/HotRestartTest.java
+++ b/proxy/src/test/java/spurroad/program/restart/HotRestartTest.java
@@ -76,7 +76,7 @@
 
         private BlockingQueue<Boolean> call(String endpointId, boolean drain) {
             BlockingQueue<Boolean> answer = new LinkedBlockingQueue<>();
-            hotRestart.setAdminDrain(endpointId, drain, answer::add);
+            hotRestart.setAdminDrain(endpointId, drain, () -> {}, answer::add);
             return answer;
         }
 
--- a/proxy/src/test/java/spurroad/program/restart/SteppedProcess.java
+++ b/proxy/src/test/java/spurroad/program/restart/SteppedProcess.java
@@ -141,7 +141,7 @@
 
     /** Makes an operator's call; the answer becomes an event. */
     void call(String name, String id, boolean drained) {
-        hotRestart.setAdminDrain(id, drained, known -> events.add(name + " answered " + known));
+        hotRestart.setAdminDrain(id, drained, () -> {}, known -> events.add(name + " answered " + known));
     }
 
     void beginShutdown() {
@@ -170,7 +170,7 @@
     }
 
     private void wakeUp() {
-        hotRestart.setAdminDrain(WAKE_UP_ID, true, known -> {});
+        hotRestart.setAdminDrain(WAKE_UP_ID, true, () -> {}, known -> {});
     }
 
     // ---- what a trace holds
