A client's connection ends right after the look for an unread command

What callers saw: at a graceful shutdown a request now and then met the end of the stream, though its client had looked for one right before the send.

Change: the socket is closed first and its bookkeeping follows; what decides how to close is asked before the look. No test fails without it.

--- a/proxy/src/main/java/spurroad/routing/ClientConnection.java
+++ b/proxy/src/main/java/spurroad/routing/ClientConnection.java
@@ -225,12 +225,18 @@
     // ---- the end
 
     private void closeBetweenCommands() {
-        if (isBetweenCommands() && !connection.hasUnread() && !isClosed()) {
-            if (responses.isDelivering(clients.now())) {
-                linger();
-            } else {
-                close(CloseReason.AFTER_LAST_ANSWER);
-            }
+        if (!isBetweenCommands()) {
+            return;
+        }
+        boolean delivering = responses.isDelivering(clients.now());
+        // a command that arrives after this look is lost: the end of the stream follows at once
+        if (connection.hasUnread() || isClosed()) {
+            return;
+        }
+        if (delivering) {
+            linger();
+        } else {
+            close(CloseReason.AFTER_LAST_ANSWER);
         }
     }
 
@@ -239,10 +245,10 @@
      * got.
      */
     private void linger() {
+        connection.shutdownOutput();
         state = ClientConnectionState.LINGERING;
         discardedBytes = 0;
         connection.setReading(true);
-        connection.shutdownOutput();
         clients.loop.schedule(LINGER_NANOS, () -> close(CloseReason.AFTER_LAST_ANSWER));
     }
 
@@ -251,11 +257,11 @@
             return;
         }
         state = ClientConnectionState.CLOSED;
+        connection.close(); // before what takes time: the caller has just looked for an unread command
         clients.events.onClosed(reason);
         clients.rules.onClosed(reason, responses.awaitedResponses(), this);
         responses.close();
         commands.close();
-        connection.close();
         clients.onClosed(this);
     }
 
--- a/proxy/src/main/java/spurroad/transport/Connection.java
+++ b/proxy/src/main/java/spurroad/transport/Connection.java
@@ -368,11 +368,8 @@
 
     @Override
     public String toString() {
-        try {
-            return source instanceof SocketChannel socket ? String.valueOf(socket.getRemoteAddress())
-                : "in memory";
-        } catch (IOException e) {
-            return "closed";
-        }
+        // the socket knows its peer also once it is closed, other than the channel
+        return source instanceof SocketChannel socket
+            ? String.valueOf(socket.socket().getRemoteSocketAddress()) : "in memory";
     }
 }
