The process ends only once its threads have left their system calls

What was seen: the process was there for 0.34 s after "graceful shutdown ended" all the same, in one play of ten and in one of two runs of the whole suite beside each other (ProcessEndTest: 1,850 ms after the signal, may be killed after 1,700).

Cause: the event loop closes the endpoint watches, and the hook did not wait for it. The virtual machine stops all threads as it ends; where it stopped the loop first, the watches stayed in their reads and it waited 0.3 s for them.

Mend: the hook waits, 0.1 s at most, until the loop has closed them.

--- a/proxy/src/main/java/spurroad/program/ProxyProcess.java
+++ b/proxy/src/main/java/spurroad/program/ProxyProcess.java
@@ -22,6 +22,7 @@
     private static final String LOG_FORMAT_PROPERTY = "spurroad.log";
     private static final String JSON_LOG_FORMAT = "json"; // one JSON object a line; plain lines otherwise
     private static final long LOG_FLUSH_MILLIS = 200;
+    private static final long CLOSE_MILLIS = 100; // of the 200 that are left before the kill
 
     private final StartBudget budget = new StartBudget(); // counts from here on
     private final CompletableFuture<ProxyService> started = new CompletableFuture<>();
@@ -68,17 +69,24 @@
 
     /**
      * Has threads end that are inside system calls: the virtual machine waits up to 0.3 s for such at its
-     * end, and the process may be killed before.
+     * end, and the process may be killed before. Returns once that is done, as the virtual machine stops all
+     * threads at its end, also the one that does it.
      */
     private void leaveSystemCalls() {
-        ProxyService service = started.getNow(null);
-        if (service != null) {
-            service.close();
-        }
         AdminServer admin = adminServer;
         if (admin != null) {
             admin.close();
         }
+        ProxyService service = started.getNow(null);
+        if (service == null) {
+            return;
+        }
+        service.close();
+        try {
+            service.awaitClosed(CLOSE_MILLIS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
     }
 
     private void start(ProxyConfiguration configuration, EventLog log)
--- a/proxy/src/main/java/spurroad/program/ProxyService.java
+++ b/proxy/src/main/java/spurroad/program/ProxyService.java
@@ -2,6 +2,8 @@
 
 import java.io.IOException;
 import java.nio.channels.ServerSocketChannel;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import spurroad.admin.AdminRoutes;
@@ -41,6 +43,7 @@
     private final SettingsReload settingsReload;
     private final AdminOperations adminOperations;
     private final EndpointWatch endpointWatch;
+    private final CountDownLatch closed = new CountDownLatch(1);
     private final GracefulShutdown gracefulShutdown;
 
     /**
@@ -179,6 +182,12 @@
         loop.execute(() -> {
             endpointWatch.close();
             loop.shutdown();
+            closed.countDown();
         });
     }
+
+    /** Waits until {@link #close} has closed the sockets that threads wait for, or the time is over. */
+    void awaitClosed(long timeoutMillis) throws InterruptedException {
+        closed.await(timeoutMillis, TimeUnit.MILLISECONDS);
+    }
 }
