Debug lines for each attempt; MixedShapesTest prints the history of a repeated request

The listed failure of MixedShapesTest ("an effect ran twice") could not be told apart from its causes: a retry that the policy allows, a second message under one attempt, an execution of an earlier load, a message that is no write. This adds the evidence; no decision changes.

- MixedShapesTest prints for each repeated key all executions with time, endpoint, connection and load, and the proxies' lines for it; the same for requests at the drained node; and the responses of requests that were not served by their text.
Its checks are as they were.

--- a/proxy/src/main/java/spurroad/program/ProxyProcess.java
+++ b/proxy/src/main/java/spurroad/program/ProxyProcess.java
@@ -4,6 +4,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.logging.Handler;
+import java.util.logging.Level;
 import java.util.logging.Logger;
 import spurroad.admin.AdminServer;
 import spurroad.configuration.ProxyConfiguration;
@@ -20,13 +21,16 @@
  */
 final class ProxyProcess {
     private static final String LOG_FORMAT_PROPERTY = "spurroad.log";
+    private static final String DEBUG_LOG_PROPERTY = "spurroad.log.debug"; // true: with debug lines
     private static final String JSON_LOG_FORMAT = "json"; // one JSON object a line; plain lines otherwise
+    private static final String LOGGER_NAME = "spurroad";
     private static final long LOG_FLUSH_MILLIS = 200;
     private static final long CLOSE_MILLIS = 100; // 200 ms are left before the process is killed
 
     private final StartBudget budget = new StartBudget(); // measures time from its creation
     private final CompletableFuture<ProxyService> started = new CompletableFuture<>();
     private final Lifecycle<ProxyService> lifecycle = new Lifecycle<>(ProxyService::end);
+    private Logger debugLogger; // held, as an unreferenced logger may be collected and lose its level
     private volatile AdminServer adminServer; // null if none is configured
 
     /** Serves until the process receives a termination signal; throws if the start fails. */
@@ -49,12 +53,18 @@
     }
 
     /** Must run before the first logger is created. */
-    private static void configureLogging() {
+    private void configureLogging() {
         System.setProperty("java.util.logging.manager", ShutdownSafeLogManager.class.getName());
         LineFormatter formatter = new LineFormatter(
             JSON_LOG_FORMAT.equals(System.getProperty(LOG_FORMAT_PROPERTY)));
+        boolean debug = Boolean.getBoolean(DEBUG_LOG_PROPERTY);
         for (Handler handler : Logger.getLogger("").getHandlers()) {
             handler.setFormatter(formatter);
+            handler.setLevel(debug ? Level.ALL : handler.getLevel());
+        }
+        if (debug) {
+            debugLogger = Logger.getLogger(LOGGER_NAME);
+            debugLogger.setLevel(Level.FINE);
         }
     }
 
--- a/proxy/src/main/java/spurroad/routing/DecisionExecutor.java
+++ b/proxy/src/main/java/spurroad/routing/DecisionExecutor.java
@@ -50,6 +50,7 @@
     private PeerGossip peerGossip;
     private long wakeAtNanos = Long.MAX_VALUE;
     private final EndpointStatusLog statusLog;
+    private final AttemptTrace trace;
     private volatile AdminStatus adminStatus = AdminStatus.NONE;
 
     /**
@@ -72,6 +73,7 @@
         this.unroutableProbe = unroutableProbe;
         this.settings = settings;
         statusLog = new EndpointStatusLog(id -> String.valueOf(endpoints.pool(id)), log::info);
+        trace = new AttemptTrace(log, clock::now);
     }
 
     /** Sets the poller; must be called before the thread starts. */
@@ -152,6 +154,7 @@
             stalls.totalNanos());
         request.attempts.add(attempt);
         request.attemptsInFlight++;
+        trace.onDecided(attempt);
         outbox.add(new StartAttempt(attempt));
     }
 
@@ -165,6 +168,7 @@
         if (!request.finished) {
             request.finished = true;
             boolean rejected = response.rejected();
+            trace.onResponse(request, response);
             counters.onResponse(rejected);
             byte[] bytes = rejected ? MetaResponse.rejected(response.retryAfterNanos() / NANOS_PER_MILLI)
                 : MetaResponse.failed();
--- a/proxy/src/main/java/spurroad/routing/EndpointConnectionPool.java
+++ b/proxy/src/main/java/spurroad/routing/EndpointConnectionPool.java
@@ -48,6 +48,7 @@
     private final Environment environment;
     private final EndpointId id;
     private final IdleConnections idle;
+    private final AttemptTrace trace;
     private String name;
     private UpstreamProtocol protocol;
     private ListedEndpoint endpoint;
@@ -60,6 +61,7 @@
         id = endpoint.endpoint().id();
         idle = new IdleConnections(environment.loop, environment.idleTimeoutNanos,
             environment.reuseDelayNanos);
+        trace = new AttemptTrace(environment.log, environment.loop::now);
         setEndpoint(endpoint, origin);
     }
 
@@ -135,6 +137,7 @@
     /** Cancels an attempt. The endpoint may still execute a fully sent one; any other never runs. */
     void cancel(UpstreamRequest attempt) {
         if (!attempt.ended) {
+            trace.onCancel(attempt);
             closeConnection(attempt);
             end(attempt, withoutReply(cancelledOutcome(attempt)));
         }
@@ -249,6 +252,7 @@
     private void end(UpstreamRequest attempt, UpstreamReply reply) {
         attempt.ended = true;
         attempt.timeout.cancel();
+        trace.onEnd(attempt, reply.outcome());
         if (reply.outcome() == Outcome.FAILED
             || !reply.outcome().hasReply() && reply.outcome() != Outcome.CANCELLED) {
             environment.log.warn(attempt.isLoadProbe() ? "load probe failed" : "attempt failed",
@@ -276,6 +280,7 @@
     void onFullySent(UpstreamRequest attempt) {
         if (!attempt.fullySent && !attempt.isLoadProbe()) {
             environment.onForwarded.run();
+            trace.onFullySent(attempt);
         }
         attempt.fullySent = true;
     }
--- a/proxy/src/main/java/spurroad/transport/EventLog.java
+++ b/proxy/src/main/java/spurroad/transport/EventLog.java
@@ -3,6 +3,7 @@
 import java.lang.System.Logger.Level;
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Consumer;
 
 /**
  * Logs events as a fixed phrase, followed by {@code key=value} fields. At most one line per second is logged
@@ -37,6 +38,19 @@
     }
 
     private final Map<String, RateLimiter> limiters = new ConcurrentHashMap<>();
+    private final Consumer<String> debugSink; // null: debug lines go to the log of the process
+
+    /** Creates a log whose lines go to the log of the process. */
+    public EventLog() {
+        this(null);
+    }
+
+    /**
+     * Creates a log that has debug lines enabled and passes them to a consumer, on the thread that logs them.
+     */
+    public EventLog(Consumer<String> debugSink) {
+        this.debugSink = debugSink;
+    }
 
     /**
      * Logs an event that operators may want to see.
@@ -53,6 +67,23 @@
         log(Level.WARNING, event, fields);
     }
 
+    /** Returns whether debug lines are written; callers build their fields only then. */
+    public boolean isDebugEnabled() {
+        return debugSink != null || LogWriter.SHARED.isEnabled(Level.DEBUG);
+    }
+
+    /**
+     * Logs an event for the diagnosis of single requests, without a limit on the rate of lines; does nothing
+     * unless debug lines are enabled.
+     */
+    public void debug(String event, Object fields) {
+        if (debugSink != null) {
+            debugSink.accept(event + ": " + fields);
+        } else if (isDebugEnabled()) {
+            LogWriter.SHARED.add(Level.DEBUG, event + ": " + fields);
+        }
+    }
+
     /** Describes an exception in one line, with the code location that threw it. */
     public static String describe(Throwable e) {
         StackTraceElement[] trace = e.getStackTrace();
--- a/proxy/src/main/java/spurroad/transport/LogWriter.java
+++ b/proxy/src/main/java/spurroad/transport/LogWriter.java
@@ -24,6 +24,11 @@
     private boolean isWriting; // a line that was taken from the queue
     private Thread thread;
 
+    /** Returns whether lines of this level are written. */
+    boolean isEnabled(Level level) {
+        return log.isLoggable(level);
+    }
+
     /** Queues a line, or counts it as dropped if the queue is full. */
     synchronized void add(Level level, String text) {
         if (queue.size() >= MAX_QUEUED_LINES) {
--- a/proxy/src/test/java/spurroad/program/MixedShapesTest.java
+++ b/proxy/src/test/java/spurroad/program/MixedShapesTest.java
@@ -9,8 +9,11 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Queue;
 import java.util.Random;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.ConcurrentSkipListMap;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -21,6 +24,7 @@
 import spurroad.fixture.ScriptedPeers;
 import spurroad.fixture.ScriptedPeers.Client;
 import spurroad.fixture.ScriptedPeers.Peer;
+import spurroad.transport.EventLog;
 
 /**
  * Proxies that share nothing and proxies that exchange peer updates serve in front of the same cache nodes
@@ -44,6 +48,9 @@
     private final AtomicInteger[] readsByNode = new AtomicInteger[NODES];
     private final AtomicInteger requestsToDrainedNode = new AtomicInteger();
     private final AtomicInteger lateRequestsToSilentNode = new AtomicInteger();
+    private final ExecutionLog executionLog = new ExecutionLog();
+    private final Queue<String> requestsAtDrainedNode = new ConcurrentLinkedQueue<>();
+    private volatile String load = ""; // name of the current load
     private volatile String listChange = ""; // of the endpoint list, for proxies that poll again
     private volatile long startedAtNanos;
     private volatile long drainAppliedMillis; // after startedAt; when all proxies had applied the drain
@@ -53,10 +60,16 @@
         private final AtomicInteger sent = new AtomicInteger();
         private final AtomicInteger served = new AtomicInteger();
         private final AtomicInteger invalid = new AtomicInteger();
+        private final Map<String, Integer> notServedByResponse = new ConcurrentSkipListMap<>();
 
         private double servedFraction() {
             return (double) served.get() / sent.get();
         }
+
+        @Override
+        public String toString() {
+            return served + " of " + sent + " served, not served " + notServedByResponse;
+        }
     }
 
     @AfterMethod(alwaysRun = true)
@@ -74,10 +87,13 @@
     private String respondAsNode(int number, String message) {
         if (message.startsWith("mg")) {
             readsByNode[number].incrementAndGet();
-            requestsToDrainedNode.addAndGet(
-                number == DRAINED_NODE && (message.contains(SENT_AFTER_DRAIN + " Pc=")
-                    || elapsedMillis() > drainAppliedMillis + GRACE_MILLIS) ? 1
-                        : 0);
+            boolean afterDrain = number == DRAINED_NODE && (message.contains(SENT_AFTER_DRAIN + " Pc=")
+                || elapsedMillis() > drainAppliedMillis + GRACE_MILLIS);
+            requestsToDrainedNode.addAndGet(afterDrain ? 1 : 0);
+            if (afterDrain) {
+                requestsAtDrainedNode.add(RunningProxy.id(message));
+                executionLog.addExecution(RunningProxy.id(message), load);
+            }
             lateRequestsToSilentNode
                 .addAndGet(number == SILENT_NODE && elapsedMillis() > DRAIN_AT_MILLIS ? 1 : 0);
         }
@@ -86,6 +102,7 @@
     }
 
     private String respondAsOrigin(String message) {
+        executionLog.addExecution(message.replaceFirst("(?s).*X-Request-Id: (\\S+).*", "$1"), load);
         executionsByKey.merge(message.replaceFirst("(?s).*,k=([a-z0-9]+).*", "$1"), 1, Integer::sum);
         return "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nv";
     }
@@ -106,6 +123,8 @@
      */
     private Outcomes[] runLoad(int isolated, int peered) throws Exception {
         executionsByKey.clear();
+        requestsAtDrainedNode.clear();
+        load = "load with " + isolated + " isolated and " + peered + " peered proxies";
         requestsToDrainedNode.set(0);
         listChange = "";
         drainAppliedMillis = Long.MAX_VALUE / 2;
@@ -138,7 +157,9 @@
                     (i < isolated ? "" : "\"proxies\":[" + String.join(",", addresses) + "],")
                         + "\"settings\":{\"balancers\":" + (i < isolated ? isolated : peered) + ",\"index\":"
                         + (i < isolated ? i : i - isolated) + ",");
-            proxies.add(RunningProxy.service(new ProxyConfiguration(text)));
+            String name = "proxy " + i + " of " + load;
+            EventLog log = new EventLog(line -> executionLog.addLogLine(name, line));
+            proxies.add(RunningProxy.service(new ProxyConfiguration(text), log));
         }
         Outcomes[] outcomesByKind = {new Outcomes(), new Outcomes()};
         CountDownLatch allFinished = new CountDownLatch((isolated + peered) * CONNECTIONS);
@@ -200,7 +221,12 @@
             if (value) {
                 client.line();
             }
-            outcomes.served.addAndGet(value || line != null && line.startsWith("HD") ? 1 : 0);
+            boolean served = value || line != null && line.startsWith("HD");
+            outcomes.served.addAndGet(served ? 1 : 0);
+            if (!served) {
+                outcomes.notServedByResponse.merge(String.valueOf(line).replaceFirst(" \\d+$", ""), 1,
+                    Integer::sum);
+            }
             outcomes.invalid
                 .addAndGet(
                     line == null || !line.contains(requestId) && !line.startsWith("SERVER_ERROR") ? 1 : 0);
@@ -215,12 +241,20 @@
         assertTrue(
             executionsByKey.size() <= writes
                 && executionsByKey.values().stream().allMatch(executions -> executions == 1),
-            "an effect ran twice");
-        assertEquals(requestsToDrainedNode.get(), 0, "new requests to the drained node");
+            "an effect ran twice: " + executionsByKey.size() + " keys for " + writes + " writes"
+                + executionLog.history(repeatedKeys()));
+        assertEquals(requestsToDrainedNode.get(), 0,
+            "new requests to the drained node, whose list change all "
+                + "proxies had applied " + drainAppliedMillis + " ms after the start "
+                + executionLog.history(requestsAtDrainedNode));
         assertTrue(2 * readsByNode[COLD_NODE].get() < readsByNode[0].get() + readsByNode[1].get(),
             "too many requests to the cold node: " + readsByNode[COLD_NODE]);
     }
 
+    private List<String> repeatedKeys() {
+        return executionsByKey.keySet().stream().filter(key -> executionsByKey.get(key) > 1).toList();
+    }
+
     @Test(timeOut = 120_000)
     public void isolatedAndPeeredProxiesServeTogetherWithoutRuleViolations() throws Exception {
         double isolatedAlone = runLoad(3, 0)[0].servedFraction();
@@ -229,7 +263,8 @@
         int lateAtSilentNode = lateRequestsToSilentNode.get();
         close();
         Outcomes[] mixed = runLoad(2, 3);
-        String summary = "isolated " + isolatedAlone + ", with peers " + peeredAlone + ", together "
+        String summary = List.of(mixed) + ", isolated " + isolatedAlone + ", with peers " + peeredAlone
+            + ", together "
             + mixed[0].servedFraction()
             + " and "
             + mixed[1].servedFraction()
--- a/proxy/src/test/java/spurroad/program/RunningProxy.java
+++ b/proxy/src/test/java/spurroad/program/RunningProxy.java
@@ -29,7 +29,10 @@
     }
 
     static ProxyService service(ProxyConfiguration start) throws Exception {
-        EventLog log = new EventLog();
+        return service(start, new EventLog());
+    }
+
+    static ProxyService service(ProxyConfiguration start, EventLog log) throws Exception {
         return LeftServices
             .add(new ProxyService(start, new Threads(log), log, new Clock(), HotRestart.of(start, log)));
     }
