Reset, rather than end in order, a connection that is closed over an unread request

Callers saw, at a graceful shutdown on a busy machine, an ordered end instead of a response to a request that had already arrived: it can't be told from one that was read and given up, and PROTOCOL lets a client send again only what was not read.

Cause: closing a channel that is registered with a selector is two steps in Java, shutdown(SHUT_WR) at once and close after the next select. The first sends the end of the stream over unread input; the reset that the kernel sends for a close over unread input comes too late. The look for input came before both.

Mend: ChannelRegistration takes the channel out of the selector first; close is then one system call, in which the kernel decides between the two. Where clients may still send, the last look comes right before that call, and what it finds is answered (Connection.closeUnlessInputArrives). An end can still cross a request that is sent when the end is at the client's socket; the protocol has no message that would prevent it. ChannelRegistration and InterruptedReads are split off Connection.

--- a/proxy/src/main/java/spurroad/routing/ClientConnection.java
+++ b/proxy/src/main/java/spurroad/routing/ClientConnection.java
@@ -244,15 +244,11 @@
         if (!isBetweenCommands()) {
             return;
         }
-        boolean delivering = responses.isDelivering(clients.now());
-        // a command that arrives after this check is lost: the end of the stream follows immediately
-        if (connection.readAvailable() || isClosed()) {
-            return;
-        }
-        if (delivering) {
+        if (!responses.isDelivering(clients.now())) {
+            connection.closeUnlessInputArrives(this::isBetweenCommands,
+                () -> close(CloseReason.AFTER_LAST_ANSWER));
+        } else if (!connection.readAvailable() && !isClosed()) {
             linger();
-        } else {
-            close(CloseReason.AFTER_LAST_ANSWER);
         }
     }
 
--- a/proxy/src/main/java/spurroad/transport/Connection.java
+++ b/proxy/src/main/java/spurroad/transport/Connection.java
@@ -9,6 +9,7 @@
 import java.nio.channels.SelectionKey;
 import java.nio.channels.SocketChannel;
 import java.nio.channels.WritableByteChannel;
+import java.util.function.BooleanSupplier;
 
 /**
  * One non-blocking socket and the descriptor permit that it holds.
@@ -39,20 +40,16 @@
     private enum State { OPEN, CLOSED, ENDED_BY_PEER }
 
     private static final int END_OF_STREAM = -1; // returned by a channel's read
-    // returned by a read or write of a non-blocking socket that a signal interrupted (EINTR)
-    private static final int INTERRUPTED = -3;
-    private static final int MAX_INTERRUPTED_READS = 8;
 
     private final EventLoop loop;
     private final ReadableByteChannel source;
     private final WritableByteChannel sink;
-    private final Runnable releasePermit;
+    private final ChannelRegistration registration;
     private final WriteQueue writeQueue;
     private final ReadArrivalTracker arrivalTracker;
-    private SelectionKey readKey;
-    private SelectionKey writeKey;
     private Handler handler;
     private State state = State.OPEN;
+    private boolean closesUnlessInputArrives; // until it is closed or input arrives
 
     /**
      * Wraps a socket, or two channels that stand in for one. {@link #open} or {@link #connect} must be called
@@ -65,7 +62,8 @@
         this.loop = loop;
         this.source = source;
         this.sink = sink;
-        this.releasePermit = releasePermit;
+        registration = new ChannelRegistration(loop, (SelectableChannel) source, (SelectableChannel) sink,
+            this::onReady, releasePermit);
         writeQueue = new WriteQueue(sink);
         arrivalTracker = new ReadArrivalTracker(loop);
     }
@@ -115,9 +113,7 @@
                 // the kernel must not hold a response back until more is written (Nagle's algorithm)
                 socket.setOption(StandardSocketOptions.TCP_NODELAY, true);
             }
-            readKey = loop.register((SelectableChannel) source, operations, this::onReady);
-            writeKey = sink == source ? readKey
-                : loop.register((SelectableChannel) sink, 0, this::onReady);
+            registration.register(operations);
         } catch (IOException e) {
             fail();
         }
@@ -146,7 +142,7 @@
     }
 
     private void onConnected() {
-        readKey.interestOps(SelectionKey.OP_READ);
+        registration.onConnected();
         handler.onConnected();
     }
 
@@ -158,9 +154,10 @@
             ByteBuffer buffer = loop.readBuffer;
             int limit = Math.min(maxBytes, buffer.capacity());
             buffer.clear().limit(limit);
-            int count = readRetryingInterrupts(buffer);
-            arrivalTracker.onRead(count == limit || count == INTERRUPTED, isReading());
+            int count = InterruptedReads.readRetrying(source, buffer);
+            arrivalTracker.onRead(count == limit || count == InterruptedReads.INTERRUPTED, isReading());
             if (count > 0) {
+                closesUnlessInputArrives = false;
                 handler.onRead(buffer.flip());
             } else if (count == END_OF_STREAM) {
                 closeAndNotify(State.ENDED_BY_PEER);
@@ -172,18 +169,6 @@
         }
     }
 
-    /**
-     * Reads, and retries if a signal interrupts the read; otherwise an end of stream could be missed right
-     * before a request is sent.
-     */
-    private int readRetryingInterrupts(ByteBuffer buffer) throws IOException {
-        int count = source.read(buffer);
-        for (int i = 0; count == INTERRUPTED && i < MAX_INTERRUPTED_READS; i++) {
-            count = source.read(buffer);
-        }
-        return count;
-    }
-
     /**
      * Returns the earliest time at which the bytes of the last read can have arrived, in Unix nanoseconds.
      * They may have been unread while the event loop was busy or while reading was paused.
@@ -210,7 +195,7 @@
      * peer's send buffer.
      */
     public void setReading(boolean enabled) {
-        if (isClosed() || !readKey.isValid() || !setInterest(readKey, SelectionKey.OP_READ, enabled)) {
+        if (isClosed() || !registration.setReading(enabled)) {
             return;
         }
         if (enabled) {
@@ -232,18 +217,7 @@
 
     /** Returns whether the event loop reads from the connection: it is connected, open and not paused. */
     public boolean isReading() {
-        return !isClosed() && readKey.isValid() && (readKey.interestOps() & SelectionKey.OP_READ) != 0;
-    }
-
-    /** Adds an operation to a key's interest set or removes it. Returns whether the set has changed. */
-    private static boolean setInterest(SelectionKey key, int operation, boolean enabled) {
-        int current = key.interestOps();
-        int updated = enabled ? current | operation : current & ~operation;
-        if (current == updated) {
-            return false;
-        }
-        key.interestOps(updated);
-        return true;
+        return !isClosed() && registration.isReading();
     }
 
     // ---- writing
@@ -279,7 +253,7 @@
     private boolean flush() {
         try {
             writeQueue.flush(loop.writeBuffer);
-            setInterest(writeKey, SelectionKey.OP_WRITE, !writeQueue.isEmpty());
+            registration.setWriting(!writeQueue.isEmpty());
             return writeQueue.isEmpty();
         } catch (IOException e) {
             fail();
@@ -372,12 +346,44 @@
             return;
         }
         state = closedState;
-        loop.runAfterSelect(releasePermit);
+        registration.close();
+    }
+
+    /**
+     * Closes the connection in one of the next iterations unless input arrives until then, which is passed to
+     * the handler as usual. The last read is followed immediately by the close; input that arrives between
+     * the two resets the connection, which tells the peer that it was not read.
+     *
+     * @param mayClose asked right before the last read; if false, the connection stays open
+     * @param onClosed run right after the close
+     */
+    public void closeUnlessInputArrives(BooleanSupplier mayClose, Runnable onClosed) {
+        if (isClosed() || registration.isSuspended()) {
+            return;
+        }
+        closesUnlessInputArrives = true;
+        arrivalTracker.onReadingPaused();
+        registration.suspend();
+        registration.runWhenDeregistered(() -> closeOrResume(mayClose, onClosed));
+    }
+
+    private void closeOrResume(BooleanSupplier mayClose, Runnable onClosed) {
+        if (closesUnlessInputArrives && mayClose.getAsBoolean() && !readAvailable()) {
+            close();
+            onClosed.run();
+        } else if (!isClosed()) {
+            resume();
+        }
+    }
+
+    private void resume() {
+        closesUnlessInputArrives = false;
         try {
-            source.close();
-            sink.close();
+            registration.resume();
+            registration.setWriting(!writeQueue.isEmpty());
+            loop.execute(this::readAfterPause);
         } catch (IOException e) {
-            // the descriptor is released nevertheless
+            fail();
         }
     }
 
--- a/proxy/src/main/java/spurroad/transport/EventLoop.java
+++ b/proxy/src/main/java/spurroad/transport/EventLoop.java
@@ -163,6 +163,7 @@
                 key.channel().close();
             }
             selector.close();
+            runAfterSelectTasks(); // closes the channels that awaited their deregistration
         } catch (IOException | Error e) {
             log.warn("event loop failed, exiting", "error=" + EventLog.describe(e));
             log.flush(LOG_FLUSH_TIMEOUT_MILLIS);
