Leave requests in flight to an origin that drains, is removed or starts anew

Callers saw SERVER_ERROR busy for reads and writes in flight at an origin some 0.6 s after discovery said that it drains or is gone. The origin finishes them, as a draining one should, so whoever sent a write again had it run a second time.

Cause: EndpointTable.isOrigin compared with the origin that is ready. Attempts at any other one counted as attempts at a cache node, so that outlier detection called them off by the response times of cache nodes, and their failures counted in the failure rate of cache nodes. An endpoint now is an origin by its kind in the list.

Test: OriginFetchTest.leavesWritesInFlightToAnOriginThatIsNoLongerReady; before, its cases DRAINING and REMOVED failed ("after 600 ms expected [0] but found [2]" cancelled attempts), READY and the new start passed.

--- a/core/src/main/java/spurroad/balancer/endpoint/EndpointTable.java
+++ b/core/src/main/java/spurroad/balancer/endpoint/EndpointTable.java
@@ -64,9 +64,12 @@
         return origin;
     }
 
-    /** Returns whether an endpoint is the origin from which the proxy itself fetches. */
+    /**
+     * Returns whether an endpoint is an origin from which the proxy itself fetches, ready or not: attempts
+     * are still in flight to one that drains, was removed or has been replaced.
+     */
     public boolean isOrigin(EndpointState endpoint) {
-        return endpoint == origin;
+        return deployment.settings().isOrigin(endpoint.listing());
     }
 
     /** Returns the ready endpoints except the origin, in the order in which they became known. */
--- a/core/src/test/java/spurroad/balancer/OriginFetchTest.java
+++ b/core/src/test/java/spurroad/balancer/OriginFetchTest.java
@@ -10,8 +10,10 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 import spurroad.model.Decisions;
+import spurroad.model.EndpointPhase;
 import spurroad.model.Outcome;
 
 /**
@@ -33,6 +35,31 @@
         assertNotEquals(decisions.attemptsToStart.get(0).endpoint().value(), 99L);
     }
 
+    /** What happens to the origin while a write is in flight there. */
+    @DataProvider
+    Object[][] originChanges() {
+        return new Object[][] {{EndpointPhase.READY, 0L}, {EndpointPhase.DRAINING, 0L},
+            {EndpointPhase.REMOVED, 0L}, {EndpointPhase.READY, 99_000 * MS}};
+    }
+
+    /**
+     * Guards against calling off a write that the origin still executes: an origin that drains, was removed
+     * or started anew counted as an unresponsive cache node.
+     */
+    @Test(dataProvider = "originChanges")
+    public void leavesWritesInFlightToAnOriginThatIsNoLongerReady(EndpointPhase phase, long startedNanos) {
+        BalancerFixture fixture = BalancerFixture.of(5, true);
+        for (long id = 1; id <= 2; id++) {
+            assertEquals(fixture.targetOf(id, DEDUPLICATED, id), 99);
+        }
+        fixture.updateEndpoints(false, List.of(BalancerFixture.origin(phase, startedNanos)));
+        for (int waitedMillis = 0; waitedMillis < 3_900; waitedMillis += 50) {
+            Decisions decisions = fixture.advance(50);
+            assertEquals(decisions.attemptsToCancel.size(), 0, "after " + waitedMillis + " ms");
+            assertEquals(decisions.responses.size(), 0, "after " + waitedMillis + " ms");
+        }
+    }
+
     @Test
     public void startsNoOriginFetchForDisconnectedClients() {
         BalancerFixture fixture = BalancerFixture.of(5, true);
