--- a/cli/src/main/java/spurroad/cli/SoakCommand.java
+++ b/cli/src/main/java/spurroad/cli/SoakCommand.java
@@ -4,7 +4,9 @@
 import java.io.PrintWriter;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.Callable;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Model.CommandSpec;
@@ -26,6 +28,9 @@
     @Option(names = "--seed", paramLabel = "N", split = ",",
         description = "Seeds; one run for each (${DEFAULT-VALUE}).")
     private List<Long> seeds = List.of(1L);
+    @Option(names = "--count", paramLabel = "N",
+        description = "Number of consecutive seeds from each given one (${DEFAULT-VALUE}).")
+    private int count = 1;
     @Option(names = "--seconds", paramLabel = "N", description = "Length of each run (${DEFAULT-VALUE}).")
     private int seconds = 40;
     @Option(names = "--proxies", paramLabel = "N", description = "Number of real proxies (${DEFAULT-VALUE}).")
@@ -39,6 +44,7 @@
     private PlantedFault injectedFault = PlantedFault.NONE;
     @Option(names = "--plan", description = "Prints the fault schedule and runs nothing.")
     private boolean planOnly;
+    private final Map<Long, SoakResult> results = new LinkedHashMap<>(); // by seed
     @Spec
     private CommandSpec spec;
 
@@ -46,13 +52,28 @@
     public Integer call() throws IOException, InterruptedException {
         PrintWriter out = spec.commandLine().getOut();
         int exitCode = 0;
-        for (long seed : seeds) {
-            exitCode = Math.max(exitCode,
-                runOne(new SoakSettings(seed, seconds, proxies, nodes, injectedFault), out));
+        for (long firstSeed : seeds) {
+            for (long seed = firstSeed; seed < firstSeed + count; seed++) {
+                exitCode = Math.max(exitCode,
+                    runOne(new SoakSettings(seed, seconds, proxies, nodes, injectedFault), out));
+            }
+        }
+        if (!planOnly && seeds.size() * count > 1) {
+            printTable(out);
         }
         return exitCode;
     }
 
+    private void printTable(PrintWriter out) {
+        out.println(
+            "| seed | requests | attempts | crossed a close | killed at the end | late ms | violated |");
+        out.println("| --- | --- | --- | --- | --- | --- | --- |");
+        results.forEach((seed, result) -> out.println("| " + seed + " | " + result.requests() + " | "
+            + result.attempts() + " | " + result.crossings() + " | " + result.killedAtEnd() + " | "
+            + result.mostLateMs() + " | " + (result.passed() ? "-" : result.counts()) + " |"));
+        out.flush();
+    }
+
     private int runOne(SoakSettings settings, PrintWriter out) throws IOException, InterruptedException {
         Path root = Installation.home().toAbsolutePath().normalize();
         Path folder = Files.createTempDirectory("soak");
@@ -62,6 +83,7 @@
                 return 0;
             }
             SoakResult result = run.play();
+            results.put(settings.seed(), result);
             boolean isExpected = injectedFault == PlantedFault.NONE ? result.passed()
                 : result.counts().containsKey(injectedFault.broken());
             print(out, settings.seed(), result, folder);
--- a/testbed/src/main/java/spurroad/testbed/soak/FaultKind.java
+++ b/testbed/src/main/java/spurroad/testbed/soak/FaultKind.java
@@ -14,6 +14,8 @@
     PROXY_RELOADED_TWICE(Target.PROXY, 0, 0),
     /** Told to reload a truncated file. */
     PROXY_RELOADED_WITH_A_FAULTY_FILE(Target.PROXY, 0, 0),
+    /** Several signals in quick succession: reloads, ends, pauses, in one of several orders. */
+    PROXY_GETS_SIGNALS_IN_SERIES(Target.PROXY, 0, 0),
     /** Paused again and again for a moment. */
     PROXY_HELD_UP(Target.PROXY, 1_000, 3_000),
     /** The time of day jumps. */
@@ -36,6 +38,11 @@
     NODE_OUT_BY_HAND(Target.PROXY, 1_000, 5_000),
     /** Many clients connect and send nothing. */
     IDLE_CLIENTS(Target.PROXY, 1_000, 4_000),
+    /**
+     * More clients than the proxy has descriptors connect within a second: some send nothing, some half a
+     * request, some leave. Drawn in some runs only.
+     */
+    CROWD(Target.PROXY, 1_500, 3_000),
     /** Discovery drains the node, which then restarts. */
     NODE_DRAINED(Target.NODE, 2_000, 5_000),
     /** The node restarts without a drain. */
--- a/testbed/src/main/java/spurroad/testbed/soak/FaultSchedule.java
+++ b/testbed/src/main/java/spurroad/testbed/soak/FaultSchedule.java
@@ -23,6 +23,11 @@
     private static final int GROUP_SPREAD_MS = 600;
     /** The fraction of groups with three faults; the others have two. */
     private static final double LARGE_GROUP_FRACTION = 0.5;
+    /** A run in this many has crowds, each beside another fault of the same proxy. */
+    private static final int RUNS_PER_CROWDED_RUN = 3;
+    private static final int CROWDS = 2;
+    private static final List<FaultKind> BESIDE_CROWDS = List.of(FaultKind.DISCOVERY_DOWN,
+        FaultKind.PROXY_UPGRADED, FaultKind.PROXY_STOPPED);
     /** The fraction of faults that affect a proxy. */
     private static final double PROXY_FRACTION = 0.6;
 
@@ -40,10 +45,24 @@
             }
             groupStartMs += MIN_INTERVAL_MS + random.nextInt(MAX_INTERVAL_MS - MIN_INTERVAL_MS);
         }
+        if (seed % RUNS_PER_CROWDED_RUN == 0) {
+            addCrowds(random, faults, lengthMs, proxies);
+        }
         faults.sort(Comparator.comparingLong(Fault::fromMs));
         return new FaultSchedule(List.copyOf(faults));
     }
 
+    private static void addCrowds(Random random, List<Fault> faults, long lengthMs, int proxies) {
+        for (int i = 0; i < CROWDS; i++) {
+            long startMs = WARM_UP_MS
+                + random.nextInt((int) Math.max(1, lengthMs - WARM_UP_MS - COOL_DOWN_MS));
+            int proxy = random.nextInt(proxies);
+            FaultKind other = BESIDE_CROWDS.get(random.nextInt(BESIDE_CROWDS.size()));
+            faults.add(drawFault(random, FaultKind.CROWD, startMs, proxy));
+            faults.add(drawFault(random, other, startMs + random.nextInt(GROUP_SPREAD_MS), proxy));
+        }
+    }
+
     private static Fault drawFault(Random random, long startMs, int proxy, int nodes) {
         FaultKind kind = drawKind(random);
         int target = switch (kind.target) {
@@ -51,6 +70,10 @@
             case NODE -> random.nextInt(nodes);
             case ORIGIN -> 0;
         };
+        return drawFault(random, kind, startMs, target);
+    }
+
+    private static Fault drawFault(Random random, FaultKind kind, long startMs, int target) {
         long durationMs = kind.minDurationMs + random.nextInt(kind.maxDurationMs - kind.minDurationMs + 1);
         return new Fault(kind, target, startMs, startMs + durationMs, random.nextDouble());
     }
@@ -58,7 +81,9 @@
     private static FaultKind drawKind(Random random) {
         boolean affectsProxy = random.nextDouble() < PROXY_FRACTION;
         List<FaultKind> kinds = Arrays.stream(FaultKind.values())
-            .filter(kind -> kind.target == FaultKind.Target.PROXY == affectsProxy).toList();
+            .filter(kind -> kind != FaultKind.CROWD
+                && kind.target == FaultKind.Target.PROXY == affectsProxy)
+            .toList();
         return kinds.get(random.nextInt(kinds.size()));
     }
 }
--- a/testbed/src/main/java/spurroad/testbed/soak/InvariantChecker.java
+++ b/testbed/src/main/java/spurroad/testbed/soak/InvariantChecker.java
@@ -3,6 +3,7 @@
 import java.util.EnumMap;
 import java.util.HashMap;
 import java.util.Map;
+import java.util.TreeMap;
 import spurroad.testbed.soak.SoakRequest.ConnectionUse;
 import spurroad.testbed.soak.SoakRequest.Effect;
 import spurroad.testbed.soak.SoakRequest.End;
@@ -19,8 +20,11 @@
     private static final long NANOS_PER_MILLI = 1_000_000L;
     /** A response may be this much later than the deadline. */
     private static final long ANSWER_GRACE_NANOS = 500 * NANOS_PER_MILLI;
-    /** A close that crosses a request on its way arrives within this time after the request was sent. */
-    private static final long CROSSING_CLOSE_NANOS = 500 * NANOS_PER_MILLI;
+    /**
+     * A close that crosses a request has ended the connection when the request arrives, or does so at the end
+     * of the proxy's look for input: the client finds it within this time, its own delays aside.
+     */
+    private static final long CROSSING_CLOSE_NANOS = 5 * NANOS_PER_MILLI;
     /** An attempt may already be on its way when the client disconnects. */
     private static final long DISCONNECT_GRACE_NANOS = 100 * NANOS_PER_MILLI;
     private static final long REMAINING_TIME_SLACK_MS = 150;
@@ -38,7 +42,9 @@
     private final Exemptions exemptions = new Exemptions();
     private final InvariantViolations violations = new InvariantViolations(runStartNanos);
     private final SchedulingDelay schedulingDelay = new SchedulingDelay();
+    private final Map<String, Integer> crossings = new TreeMap<>(); // by what the client saw
     private long attemptCount;
+    private int killedAtEnd; // processes that were still there at the earliest kill
 
     /** Creates a checker, and starts to measure how late the soak's own threads run. */
     InvariantChecker() {
@@ -68,6 +74,7 @@
         request.answer = answer;
         request.endedAtNanos = System.nanoTime();
         request.precedingAnsweredAtNanos = precedingAnsweredAtNanos;
+        request.delayMillisAtEnd = schedulingDelay.recentMillis();
     }
 
     /** The client has disconnected before the response. */
@@ -206,6 +213,11 @@
         exemptions.addPause(proxy, startNanos, endNanos);
     }
 
+    /** A process that was told to end was still there when it was killed, at the earliest time allowed. */
+    synchronized void onKilledAtEnd() {
+        killedAtEnd++;
+    }
+
     /** Adds a violation that was found elsewhere. */
     synchronized void addViolation(Invariant invariant, String description) {
         violations.add(invariant,
@@ -238,8 +250,8 @@
     synchronized SoakResult result() {
         schedulingDelay.finish();
         requestsById.values().forEach(this::checkEnd);
-        return new SoakResult(requestsById.size(), attemptCount, Map.copyOf(endCounts), violations.counts(),
-            violations.recorded(), schedulingDelay.maxMillis());
+        return new SoakResult(requestsById.size(), attemptCount, Map.copyOf(endCounts), Map.copyOf(crossings),
+            killedAtEnd, violations.counts(), violations.recorded(), schedulingDelay.maxMillis());
     }
 
     private String describe(SoakRequest request) {
@@ -267,8 +279,7 @@
         if (!request.isSent() || request.end == End.OPEN || request.end == End.ABANDONED) {
             return false;
         }
-        boolean wasKilled = exemptions.wasKilled(request.proxy, request.sentAtNanos - ANSWER_GRACE_NANOS,
-            request.endedAtNanos);
+        boolean wasKilled = exemptions.wasKilled(request.proxy, request.sentAtNanos, request.endedAtNanos);
         return !wasKilled && !exemptions.wasNeverAccepted(request);
     }
 
@@ -277,15 +288,22 @@
      * The close and the request cross, so that such a close arrives soon after the request was sent.
      */
     private void checkDisconnect(SoakRequest request) {
+        crossings.merge(request.answer, 1, Integer::sum);
         long afterNanos = request.endedAtNanos - request.startNanos();
         if (request.connectionUse == ConnectionUse.FRESH || !request.attempts.isEmpty()) {
             addViolation(Invariant.ANSWERED, "disconnected: " + describe(request));
-        } else if (afterNanos > CROSSING_CLOSE_NANOS + schedulingDelay.maxSlackNanos()) {
+        } else if (afterNanos > CROSSING_CLOSE_NANOS + ownDelayNanos(request)) {
             addViolation(Invariant.ANSWERED, "disconnected without an attempt after "
                 + afterNanos / NANOS_PER_MILLI + " ms: " + describe(request));
         }
     }
 
+    /** Returns by how much the soak itself may have delayed what a request's client saw. */
+    private long ownDelayNanos(SoakRequest request) {
+        boolean paused = exemptions.wasPaused(request.proxy, request.startNanos(), request.endedAtNanos);
+        return (request.delayMillisAtEnd + (paused ? SoakSettings.PAUSE_MS : 0)) * NANOS_PER_MILLI;
+    }
+
     private void checkAnswerTime(SoakRequest request) {
         long timeoutNanos = request.timeoutMs * NANOS_PER_MILLI;
         long lateNanos = request.endedAtNanos - request.startNanos() - timeoutNanos - ANSWER_GRACE_NANOS;
--- a/testbed/src/main/java/spurroad/testbed/soak/PlantedFault.java
+++ b/testbed/src/main/java/spurroad/testbed/soak/PlantedFault.java
@@ -6,6 +6,8 @@
     NONE(null),
     /** A response never reaches its client. */
     LOST_ANSWER(Invariant.ANSWERED),
+    /** A connection is closed over a request some time after it was sent, before any attempt. */
+    LATE_CLOSE(Invariant.ANSWERED),
     /** A write reaches the origin twice. */
     SECOND_RUN(Invariant.RUNS_ONCE),
     /** A write that was executed is reported to its client as rejected. */
--- a/testbed/src/main/java/spurroad/testbed/soak/ProxyHost.java
+++ b/testbed/src/main/java/spurroad/testbed/soak/ProxyHost.java
@@ -146,9 +146,7 @@
         long startNanos = System.nanoTime();
         terminate(current);
         start(condition);
-        // connections of before are owed an answer, those of later are owed nothing by the old process
-        long stillAcceptingNanos = SoakSettings.STILL_ACCEPTING_MS * NANOS_PER_MILLI;
-        checker.exemptNewConnections(number, startNanos + stillAcceptingNanos, System.nanoTime());
+        exemptConnectionsAfterEnd(startNanos);
     }
 
     /** Sends SIGTERM, and SIGKILL once the time for a graceful shutdown has elapsed. */
@@ -158,7 +156,13 @@
         if (context.settings.planted() == PlantedFault.HANGING_END) {
             process.signal("STOP");
         }
+        awaitEndOrKill(process);
+    }
+
+    /** Kills a process that was just told to end at the earliest time at which the platform may do so. */
+    private void awaitEndOrKill(RunningProxy process) throws InterruptedException {
         if (!process.awaitEnd(SoakSettings.KILL_AFTER_MS)) {
+            checker.onKilledAtEnd();
             killNow(process); // not exempt: a request without an answer by now is lost
         }
     }
@@ -213,6 +217,60 @@
 
     // ---- signals and admin calls
 
+    /**
+     * Ends the process with other signals around SIGTERM, and starts the next.
+     *
+     * @param around sends the signals, SIGTERM among them
+     */
+    void restartWithSignals(StartCondition condition, SignalSeries.Sender around)
+        throws IOException, InterruptedException {
+        long startNanos = System.nanoTime();
+        RunningProxy process = current;
+        terminated = process;
+        around.sendTo(process);
+        awaitEndOrKill(process);
+        start(condition);
+        exemptConnectionsAfterEnd(startNanos);
+    }
+
+    /** Ends the process, tells the next to end while it starts, and starts one more. */
+    void restartWithEndWhileStarting(StartCondition condition, long afterMs)
+        throws IOException, InterruptedException {
+        long startNanos = System.nanoTime();
+        terminate(current);
+        RunningProxy starting = launch(condition);
+        terminated = starting;
+        current = starting;
+        Thread.sleep(afterMs);
+        starting.signal("TERM");
+        awaitEndOrKill(starting);
+        start(condition);
+        exemptConnectionsAfterEnd(startNanos);
+    }
+
+    /** Tells the process to end while its successor starts; without an inherited socket, restarts it. */
+    void endWhileSuccessorStarts(StartCondition condition, long afterMs)
+        throws IOException, InterruptedException {
+        if (!inheritsSocket) {
+            restart(condition);
+            return;
+        }
+        RunningProxy predecessor = current;
+        RunningProxy starting = launch(condition);
+        Thread.sleep(afterMs);
+        long startNanos = System.nanoTime();
+        terminate(predecessor);
+        current = starting;
+        awaitReady(starting);
+        exemptConnectionsAfterEnd(startNanos);
+    }
+
+    /** Connections of before the end are owed an answer; those of later nothing until the next serves. */
+    private void exemptConnectionsAfterEnd(long endStartNanos) {
+        long stillAcceptingNanos = SoakSettings.STILL_ACCEPTING_MS * NANOS_PER_MILLI;
+        checker.exemptNewConnections(number, endStartNanos + stillAcceptingNanos, System.nanoTime());
+    }
+
     /** Writes a configuration with the other address of discovery, and tells the process to reload. */
     void reload() throws IOException {
         discoveryAddress++;
--- a/testbed/src/main/java/spurroad/testbed/soak/SoakClient.java
+++ b/testbed/src/main/java/spurroad/testbed/soak/SoakClient.java
@@ -23,16 +23,29 @@
     /** The proxy must close a connection with half a command within this time. */
     private static final int HALF_COMMAND_TIMEOUT_MS = 3_200;
     private static final int FLOOD_BYTES = 400_000;
+    private static final double LATE_CLOSE_FRACTION = 0.02;
+    private static final long LATE_CLOSE_MS = 100;
 
     private final String name;
+    private final boolean keepsConnection;
+    private final PlantedFault planted;
     private final InvariantChecker checker;
     private final Random random;
     private final SoakConnection connection;
     private final SoakRequestFactory requests;
     private final ResponseReader responses;
 
-    SoakClient(ProxyHost proxy, String name, InvariantChecker checker, SoakSettings settings, long seed) {
+    /**
+     * Creates a client that is not connected.
+     *
+     * @param keepsConnection whether it only sends requests, one at a time, on one connection until the proxy
+     *     ends that, and looks for an end right before each request
+     */
+    SoakClient(ProxyHost proxy, String name, boolean keepsConnection, InvariantChecker checker,
+               SoakSettings settings, long seed) {
         this.name = name;
+        this.keepsConnection = keepsConnection;
+        planted = settings.planted();
         this.checker = checker;
         random = new Random(seed);
         connection = new SoakConnection(proxy.port());
@@ -44,10 +57,14 @@
     void run(long endNanos) throws InterruptedException {
         while (System.nanoTime() < endNanos) {
             try {
-                if (!connection.isOpen() || random.nextDouble() < NEW_CONNECTION_FRACTION) {
-                    connection.connect();
+                if (keepsConnection) {
+                    sendOnKeptConnection();
+                } else {
+                    if (!connection.isOpen() || random.nextDouble() < NEW_CONNECTION_FRACTION) {
+                        connection.connect();
+                    }
+                    perform(ClientBehavior.draw(random));
                 }
-                perform(ClientBehavior.draw(random));
             } catch (IOException e) {
                 connection.close(); // the end of the request, if there was one, has been reported
                 Thread.sleep(MEAN_PAUSE_MS);
@@ -57,6 +74,28 @@
         connection.close();
     }
 
+    private void sendOnKeptConnection() throws IOException, InterruptedException {
+        if (!connection.isOpen()) {
+            connection.connect();
+        }
+        SoakRequest request = nextRequest(false);
+        if (connection.hasEnded()) {
+            connection.close(); // the request is never sent
+        } else if (planted == PlantedFault.LATE_CLOSE && random.nextDouble() < LATE_CLOSE_FRACTION) {
+            closeLate(request);
+        } else {
+            exchange(List.of(request));
+        }
+    }
+
+    /** Plants a close over a request that never reaches the proxy. */
+    private void closeLate(SoakRequest request) throws InterruptedException {
+        checker.onSent(request);
+        Thread.sleep(LATE_CLOSE_MS);
+        checker.onEnd(request, End.DISCONNECTED, "planted", 0);
+        connection.close();
+    }
+
     private void perform(ClientBehavior behavior) throws IOException, InterruptedException {
         switch (behavior) {
             case SINGLE -> exchange(List.of(nextRequest(false)));
--- a/testbed/src/main/java/spurroad/testbed/soak/SoakConnection.java
+++ b/testbed/src/main/java/spurroad/testbed/soak/SoakConnection.java
@@ -6,6 +6,9 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.Socket;
+import java.net.SocketException;
+import java.nio.ByteBuffer;
+import java.nio.channels.SocketChannel;
 import spurroad.testbed.soak.SoakRequest.ConnectionUse;
 
 /** The connection of a client to its proxy, which can be closed and established again. Not thread-safe. */
@@ -15,7 +18,8 @@
     private static final long FRESH_NANOS = 100_000_000L;
 
     private final int port;
-    private Socket socket;
+    private SocketChannel channel;
+    private Socket socket; // of the channel
     private InputStream in;
     private boolean used;
     private long connectedAtNanos;
@@ -32,7 +36,8 @@
     /** Establishes a new connection, and closes the one before. */
     void connect() throws IOException {
         close();
-        socket = new Socket();
+        channel = SocketChannel.open();
+        socket = channel.socket();
         socket.setTcpNoDelay(true);
         socket.connect(new InetSocketAddress(InetAddress.getLoopbackAddress(), port), CONNECT_TIMEOUT_MS);
         in = new BufferedInputStream(socket.getInputStream());
@@ -57,6 +62,21 @@
         return connectedAtNanos;
     }
 
+    /**
+     * Returns whether the proxy has ended the connection, as far as that has arrived. Called right before a
+     * request is sent, while no response is awaited.
+     */
+    boolean hasEnded() throws IOException {
+        try {
+            channel.configureBlocking(false);
+            boolean ended = channel.read(ByteBuffer.allocate(1)) != 0; // a byte would belong to no request
+            channel.configureBlocking(true);
+            return ended;
+        } catch (SocketException e) {
+            return true; // reset
+        }
+    }
+
     void write(String text) throws IOException {
         Sockets.write(socket.getOutputStream(), text);
     }
--- a/testbed/src/main/java/spurroad/testbed/soak/SoakRequest.java
+++ b/testbed/src/main/java/spurroad/testbed/soak/SoakRequest.java
@@ -82,6 +82,8 @@
     long precedingAnsweredAtNanos;
     End end = End.OPEN;
     String answer = "";
+    /** How late the soak's own threads ran when the request ended. */
+    long delayMillisAtEnd;
     final List<Attempt> attempts = new ArrayList<>(2);
     int executions;
 
--- a/testbed/src/main/java/spurroad/testbed/soak/SoakRun.java
+++ b/testbed/src/main/java/spurroad/testbed/soak/SoakRun.java
@@ -15,7 +15,8 @@
  * injected, and checks the invariants. Used by one thread; only one run at a time is possible in a process.
  */
 public final class SoakRun implements AutoCloseable {
-    private static final int CLIENTS_PER_PROXY = 4;
+    private static final int CLIENTS_PER_PROXY = 6;
+    private static final int KEEP_ALIVE_CLIENTS_PER_PROXY = 2; // of these
     private static final long PROCESS_CHECK_INTERVAL_MS = 250;
     private static final long PLANTED_CRASH_AT_MS = 4_000;
     private static final long START_TIMEOUT_SECONDS = 60;
@@ -107,7 +108,8 @@
             for (int i = 0; i < CLIENTS_PER_PROXY; i++) {
                 String name = "p" + proxy.number + "c" + i;
                 long seed = settings.seed() * 41 + proxy.number * 100L + i;
-                SoakClient client = new SoakClient(proxy, name, checker, settings, seed);
+                boolean keepsConnection = i < KEEP_ALIVE_CLIENTS_PER_PROXY;
+                SoakClient client = new SoakClient(proxy, name, keepsConnection, checker, settings, seed);
                 threads.add(TestThreads.start("client", () -> client.run(endNanos)));
             }
         }
