Keep a second ready origin off the ring of cache nodes

Cause: EndpointTable.refresh put every ready endpoint but the first origin on the ring. An endpoint of the origin's kind now never is on it; the first ready one takes writes and misses.

Test: OriginFetchTest.sendsNoReadsToSecondOriginBeforeTheyMiss failed before ("key 1 went to 98").

--- a/core/src/main/java/spurroad/balancer/endpoint/EndpointTable.java
+++ b/core/src/main/java/spurroad/balancer/endpoint/EndpointTable.java
@@ -165,8 +165,8 @@
             if (!endpoint.isReady()) {
                 continue;
             }
-            if (origin == null && deployment.settings().isOrigin(endpoint.listing())) {
-                origin = endpoint;
+            if (isOrigin(endpoint)) {
+                origin = origin == null ? endpoint : origin; // a second one is listed while the origin moves
             } else {
                 cacheEndpoints.add(endpoint);
                 outlierDetector.onReady(endpoint);
--- a/core/src/test/java/spurroad/balancer/OriginFetchTest.java
+++ b/core/src/test/java/spurroad/balancer/OriginFetchTest.java
@@ -12,9 +12,13 @@
 import java.util.List;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
+import spurroad.model.CellId;
 import spurroad.model.Decisions;
+import spurroad.model.Endpoint;
+import spurroad.model.EndpointId;
 import spurroad.model.EndpointPhase;
 import spurroad.model.Outcome;
+import spurroad.model.ZoneId;
 
 /**
  * Tests which requests are sent to an origin that the proxy itself fetches from, and how many concurrently.
@@ -60,6 +64,24 @@
         }
     }
 
+    /**
+     * Guards against using a second ready origin, as listed while the origin moves, as a cache node: it would
+     * get a share of all reads, and far fewer than these bring it to a stop.
+     */
+    @Test
+    public void sendsNoReadsToSecondOriginBeforeTheyMiss() {
+        BalancerFixture fixture = BalancerFixture.of(5, true);
+        Endpoint second = new Endpoint(new EndpointId(98), BalancerFixture.ORIGIN, new ZoneId(0),
+            new CellId(0),
+            0, 1, EndpointPhase.READY);
+        fixture.updateEndpoints(false, List.of(second));
+        for (long key = 0; key < 200; key++) {
+            long target = fixture.targetOf(key, READ, key);
+            assertTrue(target < 5, "key " + key + " went to " + target);
+            fixture.endAttempt(key, 0, Outcome.SUCCEEDED);
+        }
+    }
+
     @Test
     public void startsNoOriginFetchForDisconnectedClients() {
         BalancerFixture fixture = BalancerFixture.of(5, true);
