Soak: give no port to two processes of a run

Log of p-7: "can't listen at /127.0.0.1:28254: Address already in use"; its clients got "HTTP/1.1 400 Bad Request", the answer of an admin server.

Cause: a free port is found by binding and closing it, and stays free until the process that it is meant for listens, and again while that is restarted. Meanwhile it could be found again as the admin port of another process. A run now gives each port once, and runs in other processes draw, most likely, from other blocks of the range.

No product code.

--- a/testbed/src/main/java/spurroad/testbed/soak/SoakEnvironment.java
+++ b/testbed/src/main/java/spurroad/testbed/soak/SoakEnvironment.java
@@ -70,5 +70,6 @@
     void close() {
         proxies.forEach(ProxyHost::close);
         TestThreads.closeAll();
+        Sockets.forgetGivenPorts();
     }
 }
--- a/testbed/src/main/java/spurroad/testbed/soak/Sockets.java
+++ b/testbed/src/main/java/spurroad/testbed/soak/Sockets.java
@@ -9,6 +9,8 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ThreadLocalRandom;
 
 /** Operations on loopback sockets and on the lines that cross them. Thread-safe. */
@@ -16,7 +18,10 @@
     /** The range below the ephemeral ports that Linux gives to connections by itself. */
     private static final int FIRST_PORT = 20_000;
     private static final int PORT_COUNT = 12_000;
-    private static final int PORT_ATTEMPTS = 100;
+    /** Runs in other processes use other blocks of this range, most likely. */
+    private static final int PORT_BLOCKS = 8;
+    private static final int PORT_ATTEMPTS = 10_000;
+    private static final Set<Integer> GIVEN_PORTS = ConcurrentHashMap.newKeySet();
 
     private Sockets() {}
 
@@ -27,10 +32,18 @@
         return socket;
     }
 
-    /** Returns a free port that the system doesn't give to a connection meanwhile. */
+    /**
+     * Returns a free port that neither the system gives to a connection meanwhile nor another call returns:
+     * it stays free until the process that it is meant for listens, and while that is being restarted.
+     */
     static int freePort() throws IOException {
+        int blockSize = PORT_COUNT / PORT_BLOCKS;
+        int block = (int) (ProcessHandle.current().pid() % PORT_BLOCKS);
         for (int i = 0; i < PORT_ATTEMPTS; i++) {
-            int port = FIRST_PORT + ThreadLocalRandom.current().nextInt(PORT_COUNT);
+            int port = FIRST_PORT + block * blockSize + ThreadLocalRandom.current().nextInt(blockSize);
+            if (!GIVEN_PORTS.add(port)) {
+                continue;
+            }
             try (ServerSocket server = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
                 return server.getLocalPort();
             } catch (BindException e) {
@@ -40,6 +53,11 @@
         throw new IOException("no free port found from " + FIRST_PORT + " on");
     }
 
+    /** Lets ports be returned again; to be called at the end of a run. */
+    static void forgetGivenPorts() {
+        GIVEN_PORTS.clear();
+    }
+
     /** Closes a connection by a reset. */
     static void reset(Socket socket) {
         try {
