Retry interrupted accepts eight times before the queue counts as empty

Half of the proxy's accepts failed and 200 idle clients had just connected.

Cause: Java returns null for an accept that a signal interrupts, as for an empty queue; the listener tried once more. Twice in a row, the queue counted as empty, and what was accepted next as queued since the last select: an endpoint was given more time than its client had left.

Now eight retries, as for reads. A burst of accepts costs seven system calls more at its end.

Test: ListenerTest.countsWaitBeforeInterruptedAccepts failed before (a connection that had waited 300 ms counted as just queued).

--- a/proxy/src/main/java/spurroad/transport/Listener.java
+++ b/proxy/src/main/java/spurroad/transport/Listener.java
@@ -60,6 +60,7 @@
     private static final long MIN_BACKOFF_NANOS = 1_000_000L;
     private static final long MAX_BACKOFF_NANOS = 20_000_000L;
     private static final int MAX_BACKOFF_DOUBLINGS = 8;
+    private static final int MAX_INTERRUPTED_ACCEPTS = 8; // in a row
     // assumed for connections of a socket that no process accepted from: longer than any client waits
     private static final long ASSUMED_QUEUE_TIME_NANOS = 2 * 3_600_000_000_000L;
     private static final long QUIET_PERIOD_NANOS = 20_000_000L; // time without a connection before the close
@@ -208,9 +209,7 @@
 
     private boolean acceptOne(boolean overflow) {
         try {
-            SocketChannel accepted = acceptor.accept();
-            // retries once, as an accept that a signal interrupts also returns null
-            accepted = accepted == null ? acceptor.accept() : accepted;
+            SocketChannel accepted = acceptRetryingInterrupts();
             if (accepted == null) {
                 permits.release(overflow);
                 queueTracker.onEmpty();
@@ -231,6 +230,15 @@
         }
     }
 
+    /** Accepts, and retries while there is none, as an accept that a signal interrupts also returns null. */
+    private SocketChannel acceptRetryingInterrupts() throws IOException {
+        SocketChannel accepted = acceptor.accept();
+        for (int i = 0; accepted == null && i < MAX_INTERRUPTED_ACCEPTS; i++) {
+            accepted = acceptor.accept();
+        }
+        return accepted;
+    }
+
     private long nextBackoffNanos() {
         int doublings = Math.min(consecutiveFailures++, MAX_BACKOFF_DOUBLINGS);
         return Math.min(MAX_BACKOFF_NANOS, MIN_BACKOFF_NANOS << doublings);
--- a/proxy/src/test/java/spurroad/transport/ListenerTest.java
+++ b/proxy/src/test/java/spurroad/transport/ListenerTest.java
@@ -110,6 +110,27 @@
     }
 
     /** After the last failure, connections are accepted again. */
+    /**
+     * Guards against taking interrupted accepts for an empty queue: the connections in it would count as just
+     * queued, and endpoints get more time than their clients have left.
+     */
+    @Test(timeOut = 60_000)
+    public void countsWaitBeforeInterruptedAccepts() throws Exception {
+        ServerSocketChannel socket = bindToFreePort();
+        AtomicInteger interruptsLeft = new AtomicInteger(3);
+        QueueTimeRecorder queueTimes = new QueueTimeRecorder();
+        Listener listener = new Listener(socket,
+            () -> interruptsLeft.getAndDecrement() > 0 ? null : socket.accept(), true, loop,
+            new UnlimitedPermits(), queueTimes, log);
+        try (Socket client = connect(socket)) {
+            long waitMillis = 300;
+            Thread.sleep(waitMillis);
+            listener.start(() -> {});
+            assertTrue(queueTimes.takeNext() >= TimeUnit.MILLISECONDS.toNanos(waitMillis), "from " + client);
+        }
+        assertTrue(listener.closeWhenQuiet(CLOSE_TIMEOUT_MILLIS));
+    }
+
     @Test
     public void acceptsAgainAfterFailures() throws Exception {
         ServerSocketChannel socket = bindToFreePort();
