--- a/testbed/src/test/java/spurroad/testbed/soak/SoakTest.java
+++ b/testbed/src/test/java/spurroad/testbed/soak/SoakTest.java
@@ -68,6 +68,20 @@
         assertTrue(result.requests() > 100, "only " + result.requests() + " requests");
     }
 
+    /**
+     * Guards against missing a drain while waits are interrupted: the calls to discovery failed one by one.
+     */
+    @Test
+    public void learnsOfDrainWhileWaitsAreInterrupted() throws Exception {
+        List<Fault> faults = new ArrayList<>();
+        for (int proxy = 0; proxy < PROXIES; proxy++) {
+            faults.add(new Fault(FaultKind.WAITS_ARE_INTERRUPTED, proxy, START_MS, START_MS + 4_000, 0.1));
+        }
+        faults.add(new Fault(FaultKind.NODE_DRAINED, 0, START_MS + 100, START_MS + 4_000, 0.1));
+        SoakResult result = run(settings(2, PlantedFault.NONE), new FaultSchedule(faults));
+        assertEquals(result.counts(), Map.of(), result.violations().toString());
+    }
+
     @DataProvider
     Object[][] planted() {
         return Arrays.stream(PlantedFault.values()).filter(p -> p != PlantedFault.NONE)
