After a second reading: one question for the origin, no dead field, a comment back at its test

EndpointTable.adminStatus asked the settings whether an endpoint is an origin beside isOrigin, which asks the same. A field of RequestHistory was written and never read; the doc comment of acceptsAgainAfterFailures stood above another test; the error of Sockets.freePort named the whole range, not the process's block. Behaviour and assertions as they were.

--- a/core/src/main/java/spurroad/balancer/endpoint/EndpointTable.java
+++ b/core/src/main/java/spurroad/balancer/endpoint/EndpointTable.java
@@ -211,7 +211,7 @@
         List<RestrictedEndpoint> restricted = new ArrayList<>();
         for (EndpointState endpoint : endpoints.values()) {
             boolean isListed = endpoint.listing().phase() != EndpointPhase.REMOVED;
-            if (!isListed || deployment.settings().isOrigin(endpoint.listing())) {
+            if (!isListed || isOrigin(endpoint)) {
                 continue;
             }
             listedCount++;
--- a/proxy/src/test/java/spurroad/program/RequestHistory.java
+++ b/proxy/src/test/java/spurroad/program/RequestHistory.java
@@ -30,7 +30,6 @@
     /** What the log says of one attempt; times are in microseconds. */
     private static final class TracedAttempt {
         private long decidedAt;
-        private long sentAt = Long.MAX_VALUE;
         private boolean sent;
         private String outcome; // null until it has ended
     }
@@ -93,10 +92,7 @@
                 attempts.add(new TracedAttempt());
                 attempts.get(number - 1).decidedAt = atMicros;
             }
-            case "sent" -> {
-                attempts.get(number - 1).sent = true;
-                attempts.get(number - 1).sentAt = atMicros;
-            }
+            case "sent" -> attempts.get(number - 1).sent = true;
             default -> attempts.get(number - 1).outcome = line.group(3);
         }
         return null;
--- a/proxy/src/test/java/spurroad/transport/ListenerTest.java
+++ b/proxy/src/test/java/spurroad/transport/ListenerTest.java
@@ -109,7 +109,6 @@
         assertEquals(permits.acquired.get(), 1, "permits acquired");
     }
 
-    /** After the last failure, connections are accepted again. */
     /**
      * Guards against taking interrupted accepts for an empty queue: the connections in it would count as just
      * queued, and endpoints get more time than their clients have left.
@@ -131,6 +130,7 @@
         assertTrue(listener.closeWhenQuiet(CLOSE_TIMEOUT_MILLIS));
     }
 
+    /** After the last failure, connections are accepted again. */
     @Test
     public void acceptsAgainAfterFailures() throws Exception {
         ServerSocketChannel socket = bindToFreePort();
--- a/testbed/src/main/java/spurroad/testbed/soak/Sockets.java
+++ b/testbed/src/main/java/spurroad/testbed/soak/Sockets.java
@@ -68,7 +68,7 @@
                 continue; // the port is in use
             }
         }
-        throw new IOException("no free port found from " + FIRST_PORT + " on");
+        throw new IOException("no free port found from " + firstPort + " on");
     }
 
     /** Lets ports be returned again; to be called at the end of a run. */
