Read discovery's stream again after an interrupted read, which is no end of it

Cause: the input stream of a socket with a timeout returns -3 on this JDK when the system call read fails with EINTR. ByteSource took every result below one for the end of the stream, so each interrupted read ended discovery's open watch or the next call.

Why it works: only -1 is an end; any other result below one is read again. The socket's timeout begins anew with each read, so the source counts its own over all reads of one wait; the stall timer of the watch ends it earlier in any case.

--- a/proxy/src/main/java/spurroad/protocol/ByteSource.java
+++ b/proxy/src/main/java/spurroad/protocol/ByteSource.java
@@ -3,9 +3,11 @@
 import java.io.EOFException;
 import java.io.IOException;
 import java.io.InputStream;
+import java.net.SocketTimeoutException;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
+import java.util.concurrent.TimeUnit;
 
 /**
  * A buffered input that is read by lines and by byte counts, both bounded. Text is decoded as ISO 8859-1, one
@@ -30,8 +32,10 @@
     private static final int BLOCKING_BUFFER_BYTES = 4096; // a few commands
     private static final byte[] NO_BUFFER = {};
     private static final byte[] LINE_END = {'\r', '\n'};
+    private static final int END_OF_STREAM = -1;
 
     private final InputStream in; // null in a fed source
+    private final long readTimeoutNanos; // of a blocking source, even if signals interrupt its reads
     private byte[] buffer;
     private int position;
     private int limit;
@@ -40,15 +44,27 @@
     private int messageMinBytes; // known lower bound of the current message's length
     private boolean isInputEnded;
 
-    /** Creates a blocking source that reads from a stream. */
+    /** Creates a blocking source that reads from a stream without a timeout. */
     public ByteSource(InputStream in) {
+        this(in, Integer.MAX_VALUE);
+    }
+
+    /**
+     * Creates a blocking source that reads from the stream of a socket with a timeout.
+     *
+     * @param readTimeoutMillis the socket's timeout of a single read, which restarts when a signal interrupts
+     *     the read; the source fails once its own wait has taken that long
+     */
+    public ByteSource(InputStream in, int readTimeoutMillis) {
         this.in = in;
+        readTimeoutNanos = TimeUnit.MILLISECONDS.toNanos(readTimeoutMillis);
         buffer = new byte[BLOCKING_BUFFER_BYTES];
     }
 
     /** Creates a fed source, which holds a buffer only while it has unread bytes. */
     public ByteSource() {
         in = null;
+        readTimeoutNanos = 0;
         buffer = NO_BUFFER;
     }
 
@@ -65,11 +81,29 @@
         }
         if (position == limit && in != null) {
             position = 0;
-            limit = Math.max(0, in.read(buffer));
+            limit = 0;
+            limit = Math.max(0, readStream());
         }
         return position < limit;
     }
 
+    /**
+     * Reads from the stream into the buffer; returns the number of bytes, or {@link #END_OF_STREAM}. A stream
+     * of a socket that has a timeout returns another number below one if a signal interrupts the read: that
+     * is no end, and the read is repeated.
+     */
+    private int readStream() throws IOException {
+        long startNanos = System.nanoTime();
+        int count = in.read(buffer);
+        while (count <= 0 && count != END_OF_STREAM) {
+            if (System.nanoTime() - startNanos >= readTimeoutNanos) {
+                throw new SocketTimeoutException("no bytes received in time, reads interrupted by signals");
+            }
+            count = in.read(buffer);
+        }
+        return count;
+    }
+
     // ---- feeding
 
     /** Appends received bytes. Must not be called while a message is being parsed. */
--- a/proxy/src/main/java/spurroad/routing/EndpointWatch.java
+++ b/proxy/src/main/java/spurroad/routing/EndpointWatch.java
@@ -262,7 +262,7 @@
             String host = address.getHostString() + ":" + address.getPort();
             String path = "/catalog/members?follow=1&since=" + sinceRevision;
             socket.getOutputStream().write(Http.get(path, host));
-            ByteSource response = new ByteSource(socket.getInputStream());
+            ByteSource response = new ByteSource(socket.getInputStream(), SOCKET_TIMEOUT_MILLIS);
             Http.Head head = Http.readFinalHead(response);
             if (head.status() != OK) {
                 throw new ProtocolException("answered " + head.status());
