Read a channel again however often a signal interrupts the read

What callers may see: a request that may run once only is lost, as it was written to a connection that its endpoint had closed. Before a connection is used again the event loop looks for its end; that look gave up after eight interrupted reads in a row and counted as "nothing there".

Cause: InterruptedReads had a bound of eight retries.

Why it works: the result is now always that of a read that was not interrupted. A read of a non-blocking socket does not wait, so the loop is held up for as long as signals come at it only. The bound of the accepts stays: null means an interrupt as well as an empty queue, so there is no other way to tell.

--- a/proxy/src/main/java/spurroad/transport/Connection.java
+++ b/proxy/src/main/java/spurroad/transport/Connection.java
@@ -155,7 +155,7 @@
             int limit = Math.min(maxBytes, buffer.capacity());
             buffer.clear().limit(limit);
             int count = InterruptedReads.readRetrying(source, buffer);
-            arrivalTracker.onRead(count == limit || count == InterruptedReads.INTERRUPTED, isReading());
+            arrivalTracker.onRead(count == limit, isReading());
             if (count > 0) {
                 closesUnlessInputArrives = false;
                 handler.onRead(buffer.flip());
