MixedShapesTest: a repeated write needs a reason in the origin's own record

The scripted origin now records for each write when it was read whole, when its answer was written whole, and whether the origin ended the connection before the proxy did. Each execution after the first is red unless the origin had ended the connection of the one before; the origin of this test never does. So every repeat is red, as with the check before, also one that the proxy's log explains. Stricter besides: a message at the origin that names no request of its load is red (it was passed over), and histories of earlier loads are judged again after each later load.

--- a/proxy/src/test/java/spurroad/program/ExecutionLog.java
+++ b/proxy/src/test/java/spurroad/program/ExecutionLog.java
@@ -1,5 +1,6 @@
 package spurroad.program;
 
+import java.util.ArrayList;
 import java.util.Collection;
 import java.util.List;
 import java.util.Map;
@@ -26,9 +27,12 @@
         }
     }
 
-    /** Records that an endpoint executes a request; called on the thread of the endpoint's connection. */
-    void addExecution(String id) {
-        history(id).addExecution();
+    /**
+     * Records that an endpoint executes a request, and returns the record, to which the endpoint adds what
+     * follows; called on the thread of the endpoint's connection.
+     */
+    RequestHistory.Execution addExecution(String id) {
+        return history(id).addExecution();
     }
 
     private RequestHistory history(String id) {
@@ -38,17 +42,23 @@
     /** Returns how many requests whose ids start with a prefix were executed more than once. */
     long repeats(String prefix) {
         return histories.entrySet().stream()
-            .filter(each -> each.getKey().startsWith(prefix) && each.getValue().executions() > 1).count();
+            .filter(each -> each.getKey().startsWith(prefix) && each.getValue().executionCount() > 1).count();
     }
 
-    /** Returns the faults of the requests whose ids start with a prefix, each with its history. */
+    /**
+     * Returns the faults of the requests whose ids start with a prefix, each with its history: against the
+     * rules for attempts, and executions that their endpoint gave no reason to repeat.
+     */
     List<String> repeatFaults(String prefix, long windowMicros, int maxAttempts) {
-        Map<String, RequestHistory> sorted = new TreeMap<>(histories);
-        return sorted.entrySet().stream().filter(each -> each.getKey().startsWith(prefix))
-            .filter(each -> each.getValue().repeatFault(windowMicros, maxAttempts) != null)
-            .map(each -> "\n" + each.getKey() + ": " + each.getValue().repeatFault(windowMicros, maxAttempts)
-                + each.getValue())
-            .toList();
+        List<String> faults = new ArrayList<>();
+        new TreeMap<>(histories).forEach((id, history) -> {
+            String fault = history.repeatFault(windowMicros, maxAttempts);
+            fault = fault != null ? fault : history.unexplainedRepeat();
+            if (id.startsWith(prefix) && fault != null) {
+                faults.add("\n" + id + ": " + fault + history);
+            }
+        });
+        return faults;
     }
 
     /** Returns how many of the given requests were not served for each reason. */
--- a/proxy/src/test/java/spurroad/program/MixedShapesTest.java
+++ b/proxy/src/test/java/spurroad/program/MixedShapesTest.java
@@ -51,6 +51,7 @@
     private final AtomicInteger lateRequestsToSilentNode = new AtomicInteger();
     private final ExecutionLog executionLog = new ExecutionLog();
     private final Queue<String> requestsAtDrainedNode = new ConcurrentLinkedQueue<>();
+    private OriginRecorder originRecorder; // of the current load
     private int loadNumber; // precedes the ids of the current load's requests
     private volatile String listChange = ""; // of the endpoint list, for proxies that poll again
     private volatile long startedAtNanos;
@@ -103,13 +104,6 @@
             : RunningProxy.hit("v").apply(message);
     }
 
-    private String respondAsOrigin(String message) {
-        if (message.startsWith("PUT ")) {
-            executionLog.addExecution(message.replaceFirst("(?s).*,k=([a-z0-9]+).*", "$1"));
-        }
-        return "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nv";
-    }
-
     private static List<String> addresses(int count) throws Exception {
         List<DatagramSocket> sockets = new ArrayList<>();
         List<String> addresses = new ArrayList<>();
@@ -142,7 +136,8 @@
                 i == COLD_NODE ? System.currentTimeMillis() : 0);
             drained = i == DRAINED_NODE ? targets[i].replace("active", "leaving") : drained;
         }
-        Peer origin = new Peer(this::respondAsOrigin);
+        originRecorder = new OriginRecorder(executionLog, "l" + loadNumber + "p");
+        Peer origin = new Peer(message -> RunningProxy.ok("v"), originRecorder);
         resources.add(origin);
         targets[NODES] = ScriptedPeers.target("s-o", "origin", origin.port, "active", 0);
         List<String> addresses = addresses(peered);
@@ -240,9 +235,10 @@
     private void check(Outcomes[] outcomesByKind) {
         assertEquals(outcomesByKind[0].invalid.get() + outcomesByKind[1].invalid.get(), 0,
             "missing responses, or responses to other requests");
-        List<String> faults = executionLog.repeatFaults("l" + loadNumber + "p", DEDUPLICATION_WINDOW_MICROS,
-            MAX_ATTEMPTS);
+        List<String> faults = executionLog.repeatFaults("l", DEDUPLICATION_WINDOW_MICROS, MAX_ATTEMPTS);
         assertTrue(faults.isEmpty(), "an effect ran twice: " + faults);
+        assertTrue(originRecorder.foreignMessages().isEmpty(),
+            "messages at the origin that name no request of its load: " + originRecorder.foreignMessages());
         assertEquals(requestsToDrainedNode.get(), 0,
             "new requests to the drained node, whose list change all "
                 + "proxies had applied " + drainAppliedMillis + " ms after the start "
