MixedShapesTest: what came to the drained node after the grace, at whatever time it is read

The check "new requests to the drained node" went by the time at which the test's node read a request.

The evidence is the node's own now: when all proxies have applied the drain and the grace is over, the node counts once what has arrived on each of its connections, read or not, after accepting what waits to be accepted. Each request that begins behind that is new, at whatever time it is read, and every request on a later connection. Grace and count (none) are as they were; requests that clients sent after the drain are red at any time, as before.

--- a/proxy/src/test/java/spurroad/program/MixedShapesTest.java
+++ b/proxy/src/test/java/spurroad/program/MixedShapesTest.java
@@ -22,6 +22,7 @@
 import spurroad.configuration.ProxyConfiguration;
 import spurroad.fixture.ScriptedPeers;
 import spurroad.fixture.ScriptedPeers.Client;
+import spurroad.fixture.ScriptedPeers.ConnectionObserver;
 import spurroad.fixture.ScriptedPeers.Peer;
 import spurroad.transport.EventLog;
 
@@ -87,15 +88,28 @@
         return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startedAtNanos);
     }
 
+    /** Records a request that the drained node must not have received. */
+    private void addRequestToDrainedNode(String message) {
+        requestsToDrainedNode.incrementAndGet();
+        requestsAtDrainedNode.add(RunningProxy.id(message));
+        executionLog.addExecution(RunningProxy.id(message));
+    }
+
+    /** Records the requests that begin to arrive at the drained node after the grace. */
+    private final class DrainedNodeObserver implements ConnectionObserver {
+        @Override
+        public void onMessageAfterMark(String message) {
+            if (message.startsWith("mg") && !message.contains(SENT_AFTER_DRAIN + " Pc=")) {
+                addRequestToDrainedNode(message);
+            }
+        }
+    }
+
     private String respondAsNode(int number, String message) {
         if (message.startsWith("mg")) {
             readsByNode[number].incrementAndGet();
-            boolean afterDrain = number == DRAINED_NODE && (message.contains(SENT_AFTER_DRAIN + " Pc=")
-                || elapsedMillis() > drainAppliedMillis + GRACE_MILLIS);
-            requestsToDrainedNode.addAndGet(afterDrain ? 1 : 0);
-            if (afterDrain) {
-                requestsAtDrainedNode.add(RunningProxy.id(message));
-                executionLog.addExecution(RunningProxy.id(message));
+            if (number == DRAINED_NODE && message.contains(SENT_AFTER_DRAIN + " Pc=")) {
+                addRequestToDrainedNode(message);
             }
             lateRequestsToSilentNode
                 .addAndGet(number == SILENT_NODE && elapsedMillis() > DRAIN_AT_MILLIS ? 1 : 0);
@@ -125,13 +139,15 @@
         listChange = "";
         drainAppliedMillis = Long.MAX_VALUE / 2;
         lateRequestsToSilentNode.set(0);
+        Peer[] nodes = new Peer[NODES]; // only the drained one is marked
         String[] targets = new String[NODES + 1];
         String drained = "";
         for (int i = 0; i < NODES; i++) {
             int nodeIndex = i;
             readsByNode[i] = new AtomicInteger();
-            Peer node = new Peer(message -> respondAsNode(nodeIndex, message));
+            Peer node = new Peer(message -> respondAsNode(nodeIndex, message), new DrainedNodeObserver());
             resources.add(node);
+            nodes[i] = node;
             targets[i] = ScriptedPeers.target("s-" + i, "m1", node.port, "active",
                 i == COLD_NODE ? System.currentTimeMillis() : 0);
             drained = i == DRAINED_NODE ? targets[i].replace("active", "leaving") : drained;
@@ -190,6 +206,8 @@
             Thread.sleep(1);
         }
         drainAppliedMillis = elapsedMillis();
+        Thread.sleep(GRACE_MILLIS);
+        nodes[DRAINED_NODE].mark();
         assertTrue(allFinished.await(60, TimeUnit.SECONDS), "clients still wait for responses");
         check(outcomesByKind);
         return outcomesByKind;
