Soak: a client that finds its connection reset goes on instead of ending

Such a client ends, so the rest of its requests are never sent: the soak played less than it reports.

Cause: the look for an end of the connection makes the channel non-blocking, and left it so when the look met a reset; the next write then throws an exception that is none of input and output. Fixed by a finally.

SoakConnectionTest on the code before: failed ("Expected IOException to be thrown, but IllegalBlockingModeException was thrown"); passes now.

--- a/testbed/src/main/java/spurroad/testbed/soak/SoakConnection.java
+++ b/testbed/src/main/java/spurroad/testbed/soak/SoakConnection.java
@@ -67,13 +67,13 @@
      * request is sent, while no response is awaited.
      */
     boolean hasEnded() throws IOException {
+        channel.configureBlocking(false);
         try {
-            channel.configureBlocking(false);
-            boolean ended = channel.read(ByteBuffer.allocate(1)) != 0; // a byte would belong to no request
-            channel.configureBlocking(true);
-            return ended;
+            return channel.read(ByteBuffer.allocate(1)) != 0; // a byte would belong to no request
         } catch (SocketException e) {
             return true; // reset
+        } finally {
+            channel.configureBlocking(true);
         }
     }
 
