MixedShapesTest: peers at a loopback address of their own, proxies of a load end with it

Cause: proxies of other processes and tests go on polling ports of 127.0.0.1 that their discovery has given back, and the origin got such a port.

Evidence: the message itself; this test's proxies know revision 2 when a load ends, the poll states revision 1.

Why this works: nobody else's proxies call the test's own address, and no proxy of an earlier load is left to call a port that a later load gets. The check that found it stays: a foreign message is red.

--- a/proxy/src/test/java/spurroad/program/MixedShapesTest.java
+++ b/proxy/src/test/java/spurroad/program/MixedShapesTest.java
@@ -3,6 +3,7 @@
 import static org.testng.Assert.assertEquals;
 import static org.testng.Assert.assertTrue;
 
+import java.io.IOException;
 import java.net.DatagramSocket;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -46,6 +47,8 @@
     // suffix of request ids sent after all proxies have applied the drain
     private static final String SENT_AFTER_DRAIN = "z";
 
+    // other processes' proxies never call peers at this address
+    private final InetAddress address;
     private final List<AutoCloseable> resources = new ArrayList<>();
     private final AtomicInteger[] readsByNode = new AtomicInteger[NODES];
     private final AtomicInteger requestsToDrainedNode = new AtomicInteger();
@@ -76,6 +79,11 @@
         }
     }
 
+    /** Creates the test with an address of its own. */
+    public MixedShapesTest() throws IOException {
+        address = ScriptedPeers.ownLoopbackAddress();
+    }
+
     @AfterMethod(alwaysRun = true)
     public void close() throws Exception {
         for (AutoCloseable each : resources) {
@@ -88,6 +96,12 @@
         return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startedAtNanos);
     }
 
+    /** Returns an entry of the endpoint list for a peer at this test's own address. */
+    private String target(String uid, String model, int port, long startedAtMillis) {
+        return ScriptedPeers.target(uid, model, port, "active", startedAtMillis).replace("127.0.0.1:",
+            address.getHostAddress() + ":");
+    }
+
     /** Records a request that the drained node must not have received. */
     private void addRequestToDrainedNode(String message) {
         requestsToDrainedNode.incrementAndGet();
@@ -145,17 +159,17 @@
         for (int i = 0; i < NODES; i++) {
             int nodeIndex = i;
             readsByNode[i] = new AtomicInteger();
-            Peer node = new Peer(message -> respondAsNode(nodeIndex, message), new DrainedNodeObserver());
+            Peer node = new Peer(message -> respondAsNode(nodeIndex, message), new DrainedNodeObserver(),
+                address);
             resources.add(node);
             nodes[i] = node;
-            targets[i] = ScriptedPeers.target("s-" + i, "m1", node.port, "active",
-                i == COLD_NODE ? System.currentTimeMillis() : 0);
+            targets[i] = target("s-" + i, "m1", node.port, i == COLD_NODE ? System.currentTimeMillis() : 0);
             drained = i == DRAINED_NODE ? targets[i].replace("active", "leaving") : drained;
         }
         originRecorder = new OriginRecorder(executionLog, "l" + loadNumber + "p");
-        Peer origin = new Peer(message -> RunningProxy.ok("v"), originRecorder);
+        Peer origin = new Peer(message -> RunningProxy.ok("v"), originRecorder, address);
         resources.add(origin);
-        targets[NODES] = ScriptedPeers.target("s-o", "origin", origin.port, "active", 0);
+        targets[NODES] = target("s-o", "origin", origin.port, 0);
         List<String> addresses = addresses(peered);
         List<Peer> discoveries = new ArrayList<>();
         List<ProxyService> proxies = new ArrayList<>();
@@ -172,7 +186,9 @@
                         + (i < isolated ? i : i - isolated) + ",");
             String name = "proxy " + i;
             EventLog log = new EventLog(line -> executionLog.addLogLine(name, line));
-            proxies.add(RunningProxy.service(new ProxyConfiguration(text), log));
+            ProxyService proxy = RunningProxy.service(new ProxyConfiguration(text), log);
+            proxies.add(proxy);
+            resources.add(proxy::close);
         }
         Outcomes[] outcomesByKind = {new Outcomes(), new Outcomes()};
         CountDownLatch allFinished = new CountDownLatch((isolated + peered) * CONNECTIONS);
