--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -1,2 +1,2 @@
 #!/usr/bin/env bash
-exec "$(dirname "${BASH_SOURCE[0]}")/../run-case.sh" SlowWriters "$(dirname "${BASH_SOURCE[0]}")"
+exec "$(dirname "${BASH_SOURCE[0]}")/../run-case.sh" LongChunk "$(dirname "${BASH_SOURCE[0]}")"
--- a/review/rig/Rig.java
+++ b/review/rig/Rig.java
@@ -328,14 +328,17 @@
                     headers.getOrDefault("x-extras", ""), body);
                 arrived.add(message);
                 sleep(workMillis);
-                byte[] answer = answer(message);
-                ByteArrayOutputStream response = new ByteArrayOutputStream();
-                response.writeBytes(bytes("HTTP/1.1 200 OK\r\nContent-Length: " + answer.length + "\r\n\r\n"));
-                response.writeBytes(answer);
-                out.write(response.toByteArray());
+                respond(answer(message), out);
             }
         }
 
+        void respond(byte[] answer, OutputStream out) throws IOException {
+            ByteArrayOutputStream response = new ByteArrayOutputStream();
+            response.writeBytes(bytes("HTTP/1.1 200 OK\r\nContent-Length: " + answer.length + "\r\n\r\n"));
+            response.writeBytes(answer);
+            out.write(response.toByteArray());
+        }
+
         byte[] answer(Arrived message) {
             if (message.kind.equals("PUT")) {
                 stored.put(message.key, message.value);
