--- a/review/rig/KindsReload.java
+++ b/review/rig/KindsReload.java
@@ -1,4 +1,3 @@
-import java.util.ArrayList;
 import java.util.List;
 
 /** A new configuration drops a kind of machine that is no longer in use; then writes have to go on reaching the origin. */
@@ -37,6 +36,10 @@
         proxy.call("GET", "/stats").lines().filter(line -> line.contains("sighup")).forEach(line -> rig.note("stats: " + line));
         Rig.sleep(2000);
         broken = writeAndRead(rig, proxy, origin, "b");
+        for (Rig.CacheNode node : List.of(first, second)) {
+            rig.note(node.name + " got the writes: " + String.join(" ",
+                node.arrived.stream().filter(a -> a.kind().equals("ms")).map(Rig.Arrived::id).toList()));
+        }
         proxy.noteLog(8);
         rig.note("after the new configuration: " + broken + " writes answered as served that the origin never got, or reads "
             + "of an older value");
--- a/review/rig/LongChunk.java
+++ b/review/rig/LongChunk.java
@@ -34,7 +34,8 @@
                 super.respond(answer, out);
                 return;
             }
-            out.write(Rig.bytes("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + Integer.toHexString(answer.length) + "\r\n"));
+            String chunkSize = Integer.toHexString(answer.length);
+            out.write(Rig.bytes("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunkSize + "\r\n"));
             for (int from = 0; from < answer.length; from += PIECE_BYTES) {
                 out.write(answer, from, Math.min(PIECE_BYTES, answer.length - from));
                 Rig.sleep(5);
--- a/review/rig/Rig.java
+++ b/review/rig/Rig.java
@@ -13,7 +13,7 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.ArrayList;
+import java.nio.file.StandardCopyOption;
 import java.util.Arrays;
 import java.util.Comparator;
 import java.util.List;
@@ -22,8 +22,6 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicInteger;
-import java.util.function.Consumer;
 
 /**
  * What the cases share: stand-ins for clients, cache nodes, the origin and discovery as PROTOCOL.md describes them, the
@@ -364,7 +362,7 @@
                 + discoveryPort + "\",\"admin_addr\":\"" + HOST + ":" + adminPort + "\",\"seed\":\"8c1f30d27a5be964\",\n"
                 + "\"limits\":{\"cores\":1.0,\"memory_mb\":192,\"sockets\":1024},\n\"known\":" + listJson(1, known)
                 + ",\n\"settings\":" + settings + "}\n");
-            Files.move(next, config, java.nio.file.StandardCopyOption.REPLACE_EXISTING);
+            Files.move(next, config, StandardCopyOption.REPLACE_EXISTING);
         }
 
         void start(int discoveryPort) throws IOException {
@@ -378,7 +376,8 @@
             ProcessBuilder builder = new ProcessBuilder("/bin/sh", "-c", run).directory(root.toFile())
                 .redirectErrorStream(true).redirectOutput(log.toFile()).redirectInput(new File("/dev/null"));
             builder.environment().putAll(Map.of("BALANCER_NAME", "n1", "BALANCER_LISTEN", HOST + ":" + port,
-                "BALANCER_DISCOVERY", HOST + ":" + discoveryPort, "BALANCER_CONFIG", config.toString(), "TMPDIR", own.toString()));
+                "BALANCER_DISCOVERY", HOST + ":" + discoveryPort, "BALANCER_CONFIG", config.toString(),
+                "TMPDIR", own.toString()));
             process = builder.start();
             proxies.add(this);
             long deadline = System.nanoTime() + 30_000_000_000L;
@@ -493,8 +492,8 @@
             + "\"report\":{\"columns\":[\"busy\",\"rif\"]},\"tracks\":" + tracks + "}";
     }
 
-    static final String TRACKS = "[{\"name\":\"read\",\"effect\":\"retryable\",\"sloTimeUs\":1200000,\"statementTimeoutUs\":2500000,"
-        + "\"importance\":1.0,\"tardyImportance\":0.3},"
+    static final String TRACKS = "[{\"name\":\"read\",\"effect\":\"retryable\",\"sloTimeUs\":1200000,"
+        + "\"statementTimeoutUs\":2500000,\"importance\":1.0,\"tardyImportance\":0.3},"
         + "{\"name\":\"put\",\"effect\":\"dedup\",\"dedupScope\":\"all\",\"dedupWindowUs\":2500000,\"sloTimeUs\":1200000,"
         + "\"statementTimeoutUs\":3000000,\"importance\":2.0,\"tardyImportance\":0.25}]";
 }
--- a/review/rig/SlowUpload.java
+++ b/review/rig/SlowUpload.java
@@ -1,4 +1,5 @@
 import java.io.IOException;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Random;
 
@@ -48,6 +49,7 @@
         for (Thread writer : slow) {
             writer.join();
         }
+        rig.note("run by the origin: " + String.join(" ", origin.arrived.stream().map(Rig.Arrived::id).toList()));
         proxy.noteLog(6);
         rig.note("answered later than " + (TIMEOUT_MILLIS + TOLERATED_MILLIS) + " ms after the last byte, or never: " + lost
             + " of " + WRITES);
@@ -64,12 +66,12 @@
         return Rig.thread("slow writer", () -> {
             byte[] value = value(bytes);
             try (Rig.Client client = new Rig.Client(proxy.port)) {
-                client.send(Rig.bytes("ms 5105" + id + " " + value.length + " O" + id + " Pc=put,d=" + TIMEOUT_MILLIS + ",k=k" + id
-                    + "\r\n"));
+                client.send(Rig.bytes("ms 5105" + id + " " + value.length + " O" + id + " Pc=put,d=" + TIMEOUT_MILLIS
+                    + ",k=k" + id + "\r\n"));
                 rig.note(id + " begins to write " + value.length + " bytes");
                 int length = (value.length + PIECES - 1) / PIECES;
                 for (int from = 0; from < value.length; from += length) {
-                    client.send(java.util.Arrays.copyOfRange(value, from, Math.min(value.length, from + length)));
+                    client.send(Arrays.copyOfRange(value, from, Math.min(value.length, from + length)));
                     Rig.sleep(Rig.TROUBLE ? PIECE_PAUSE_MILLIS : 0);
                 }
                 client.send(Rig.bytes("\r\n"));
