Values of unknown length are decoded as they arrive into reserved memory, and served

Cause: HttpBody read a body of unknown length whole and compared it with its limit of 64 KiB only after each chunk, which may have 4 MiB; ByteSource.feed allocated the chunk at once, and nothing was reserved for it. Bodies that end with the connection had the same limit. A client is told the length first, and there was no place to hold a longer value until its length is known.

Evidence: a head, the line of a chunk of 4 MiB and three bytes make the parser wait for the whole chunk (HttpBodyDecoderTest.waitsForNoByteOfLongChunk).

Why this works: at most 64 KiB of such a body are read with its head, extensions counted. The rest is decoded as it arrives into pieces that are reserved before they are allocated, from a budget of half the request memory. Growth is granted only while all values can still become complete one after another (banker's algorithm), so they never wait in a cycle. Without memory the origin is not read, and after half of the attempt's time left the attempt ends as CANCELLED and the request is answered. Nothing goes to the client before the value is whole.

--- a/proxy/src/main/java/spurroad/protocol/ByteSource.java
+++ b/proxy/src/main/java/spurroad/protocol/ByteSource.java
@@ -137,11 +137,29 @@
         return taken;
     }
 
+    /**
+     * Moves up to {@code maxBytes} buffered bytes into a target, as far as it has space; returns their
+     * number. Must be called between two messages only.
+     */
+    int moveBuffered(ByteBuffer target, long maxBytes) {
+        int count = (int) Math.min(maxBytes, Math.min(limit - position, target.remaining()));
+        target.put(buffer, position, count);
+        position += count;
+        releaseEmptyBuffer();
+        startMessage();
+        return count;
+    }
+
     /** Marks the end of the input: no more bytes will be fed. */
     public void endInput() {
         isInputEnded = true;
     }
 
+    /** Returns whether the input of a fed source has ended and all of it was read. */
+    boolean isAtEnd() {
+        return isInputEnded && position == limit;
+    }
+
     /** Returns the number of buffered bytes that have not been read. */
     public int available() {
         return limit - position;
--- a/proxy/src/main/java/spurroad/protocol/Http.java
+++ b/proxy/src/main/java/spurroad/protocol/Http.java
@@ -188,7 +188,21 @@
         if (hasStreamedBody(head, command)) {
             return streamedReply(head, command);
         }
-        byte[] body = HttpBody.readWhole(in, head);
+        if (mayHaveLongValue(head, command)) {
+            HttpBody.Start start = HttpBody.readStart(in, head);
+            return start.rest() == null ? reply(head, command, start.bytes())
+                : UpstreamReply.unsized(head.loadReport(), head.isKeepAlive(),
+                    new UpstreamReply.UnsizedBody(start.bytes(), start.rest()));
+        }
+        return reply(head, command, HttpBody.readWhole(in, head));
+    }
+
+    /** Returns whether the body is a value, which may be longer than other bodies. */
+    private static boolean mayHaveLongValue(Head head, MetaCommand command) {
+        return head.status == OK && command != null && command.kind == MetaCommand.Kind.READ;
+    }
+
+    private static UpstreamReply reply(Head head, MetaCommand command, byte[] body) throws ProtocolException {
         Outcome outcome = outcome(head);
         byte[] response = outcome == Outcome.SUCCEEDED && command != null ? response(command, body) : null;
         return new UpstreamReply(outcome, CacheStatus.NONE, head.loadReport(), response, head.isKeepAlive());
@@ -196,7 +210,7 @@
 
     private static UpstreamReply streamedReply(Head head, MetaCommand command) {
         long length = head.contentLength("");
-        byte[] line = MetaResponse.encodeLine(MetaResponse.valueLine(length, command.id()));
+        byte[] line = MetaResponse.valueHead(length, command.id());
         return new UpstreamReply(Outcome.SUCCEEDED, CacheStatus.NONE, head.loadReport(), line,
             head.isKeepAlive(), new UpstreamReply.StreamedBody(length, false));
     }
@@ -208,9 +222,8 @@
 
     private static boolean hasStreamedBody(Head head, MetaCommand command) {
         long length = head.isChunked() ? -1 : head.contentLength("");
-        return head.status == OK && length > MetaCommand.MAX_BUFFERED_VALUE_BYTES
-            && length <= MetaCommand.MAX_VALUE_BYTES
-            && command != null && command.kind == MetaCommand.Kind.READ;
+        return mayHaveLongValue(head, command) && length > MetaCommand.MAX_BUFFERED_VALUE_BYTES
+            && length <= MetaCommand.MAX_VALUE_BYTES;
     }
 
     private static Outcome outcome(Head head) {
--- a/proxy/src/main/java/spurroad/protocol/HttpBody.java
+++ b/proxy/src/main/java/spurroad/protocol/HttpBody.java
@@ -7,8 +7,17 @@
 
 /** Reads HTTP response bodies: of a declared length, chunked, or up to the end of the connection. */
 final class HttpBody {
-    // maximum length of a body without Content-Length
-    private static final int MAX_UNDECLARED_BYTES = MetaCommand.MAX_BUFFERED_VALUE_BYTES;
+    /** Maximum bytes of a body of unknown length that are read at once. */
+    private static final int MAX_BUFFERED_BYTES = MetaCommand.MAX_BUFFERED_VALUE_BYTES;
+    /** Maximum bytes of all lines with chunk sizes and extensions in a body that is read at once. */
+    private static final int MAX_CHUNK_LINE_BYTES = MAX_BUFFERED_BYTES;
+
+    /**
+     * As much of a body as was read at once.
+     *
+     * @param rest decodes the rest of the body; null if the body is complete
+     */
+    record Start(byte[] bytes, HttpBodyDecoder rest) {}
 
     private HttpBody() {}
 
@@ -18,43 +27,58 @@
      * @throws ProtocolException if the body is too long or its chunks are malformed
      */
     static byte[] readWhole(ByteSource in, Http.Head head) throws IOException {
+        Start start = readStart(in, head);
+        if (start.rest != null) {
+            throw invalidLength();
+        }
+        return start.bytes;
+    }
+
+    /**
+     * Reads a whole body, or the start of a long one of unknown length. Nothing of a chunk is read if the
+     * body is a long one with it.
+     *
+     * @throws ProtocolException if the declared length is over the maximum, or a chunk is malformed
+     */
+    static Start readStart(ByteSource in, Http.Head head) throws IOException {
         if (!head.definesBodyLength()) {
-            return readToEnd(in);
+            return readUpToEnd(in);
         }
-        return head.isChunked() ? readChunks(in) : readExactly(in, head.contentLength("0"));
+        return head.isChunked() ? readChunks(in) : new Start(readExactly(in, head.contentLength("0")), null);
     }
 
-    private static byte[] readToEnd(ByteSource in) throws IOException {
-        byte[] body = new byte[MAX_UNDECLARED_BYTES + 1];
+    private static Start readUpToEnd(ByteSource in) throws IOException {
+        byte[] body = new byte[MAX_BUFFERED_BYTES + 1];
         int length = 0;
         for (int read = 0; read >= 0 && length < body.length;) {
             length += read;
             read = in.read(body, length, body.length - length);
         }
-        if (length == body.length) {
-            throw invalidLength();
-        }
-        return Arrays.copyOf(body, length);
+        HttpBodyDecoder rest = length < body.length ? null : HttpBodyDecoder.upToEnd(length);
+        return new Start(Arrays.copyOf(body, length), rest);
     }
 
-    private static byte[] readChunks(ByteSource in) throws IOException {
+    private static Start readChunks(ByteSource in) throws IOException {
         ByteArrayOutputStream body = new ByteArrayOutputStream();
-        for (long size = readChunkSize(in); size > 0; size = readChunkSize(in)) {
-            byte[] chunk = readExactly(in, size);
-            in.readLineEnd();
-            if (body.size() + chunk.length > MAX_UNDECLARED_BYTES) {
-                throw invalidLength();
+        String line = readChunkLine(in);
+        long lineBytes = line.length();
+        for (long size = parseChunkSize(line); size > 0; size = parseChunkSize(line)) {
+            if (body.size() + size > MAX_BUFFERED_BYTES || lineBytes > MAX_CHUNK_LINE_BYTES) {
+                return new Start(body.toByteArray(), HttpBodyDecoder.insideChunk(body.size(), size));
             }
-            body.writeBytes(chunk);
+            body.writeBytes(readExactly(in, size));
+            in.readLineEnd();
+            line = readChunkLine(in);
+            lineBytes += line.length();
         }
         skipTrailers(in);
-        return body.toByteArray();
+        return new Start(body.toByteArray(), null);
     }
 
     private static void skipTrailers(ByteSource in) throws IOException {
         for (int i = 0; !in.readRequiredLine(Http.MAX_HEAD_LINE_BYTES).isEmpty(); i++) {
             if (i > Http.MAX_HEADERS) {
-                throw new ProtocolException("too many headers");
+                throw tooManyHeaders();
             }
         }
     }
@@ -66,14 +90,25 @@
         return in.readFully((int) length);
     }
 
-    private static ProtocolException invalidLength() {
+    static ProtocolException tooManyHeaders() {
+        return new ProtocolException("too many headers");
+    }
+
+    static ProtocolException invalidLength() {
         return new ProtocolException("HTTP body length malformed or over the maximum");
     }
 
     /** Reads the line before a chunk; returns the chunk size in bytes, which is zero for the last chunk. */
-    private static long readChunkSize(ByteSource in) throws IOException {
-        String digits = in.readRequiredLine(Http.MAX_HEAD_LINE_BYTES).split(";", 2)[0].strip();
-        long size = parseHexadecimal(digits);
+    static long readChunkSize(ByteSource in) throws IOException {
+        return parseChunkSize(readChunkLine(in));
+    }
+
+    private static String readChunkLine(ByteSource in) throws IOException {
+        return in.readRequiredLine(Http.MAX_HEAD_LINE_BYTES);
+    }
+
+    private static long parseChunkSize(String line) throws ProtocolException {
+        long size = parseHexadecimal(line.split(";", 2)[0].strip());
         if (size < 0 || size > Http.MAX_LIST_BYTES) {
             throw new ProtocolException("HTTP chunk size malformed or over the maximum");
         }
--- a/proxy/src/main/java/spurroad/protocol/MetaResponse.java
+++ b/proxy/src/main/java/spurroad/protocol/MetaResponse.java
@@ -63,7 +63,7 @@
         }
         if (length > MetaCommand.MAX_BUFFERED_VALUE_BYTES) {
             requireId(tokens, id);
-            return new UpstreamReply(Outcome.SUCCEEDED, status, load, encodeLine(valueLine(length, id)), true,
+            return new UpstreamReply(Outcome.SUCCEEDED, status, load, valueHead(length, id), true,
                 new UpstreamReply.StreamedBody(length, true));
         }
         int valueBytes = (int) length;
@@ -146,6 +146,11 @@
         return withValue(valueLine(value.length, id), value);
     }
 
+    /** Returns the message before a value of the given length in bytes. */
+    public static byte[] valueHead(long length, String id) {
+        return encodeLine(valueLine(length, id));
+    }
+
     /** Returns the line before a value, without its line end. */
     static String valueLine(long length, String id) {
         return "VA " + length + " " + ID_FLAG + id;
--- /dev/null
+++ b/proxy/src/main/java/spurroad/routing/BufferedResponse.java
@@ -0,0 +1,68 @@
+package spurroad.routing;
+
+import java.nio.ByteBuffer;
+import java.util.Deque;
+import spurroad.protocol.MetaResponse;
+import spurroad.transport.GrowthBudget;
+
+/**
+ * Writes a long value that was received completely to a client's connection, one piece at a time, and
+ * releases the memory of each piece once it is written. Used on the event loop only.
+ */
+final class BufferedResponse implements LongResponse {
+    private final Deque<ByteBuffer> pieces;
+    private final GrowthBudget.Reservation memory;
+    private final long valueBytes;
+    private ResponseWriter writer;
+    private boolean ended;
+
+    /** Takes over the pieces of the value, each from its start to its limit, and their memory. */
+    BufferedResponse(Deque<ByteBuffer> pieces, GrowthBudget.Reservation memory) {
+        this.pieces = pieces;
+        this.memory = memory;
+        valueBytes = pieces.stream().mapToLong(ByteBuffer::remaining).sum();
+    }
+
+    /** Returns the length of the value in bytes. */
+    long valueBytes() {
+        return valueBytes;
+    }
+
+    @Override
+    public void start(ResponseWriter responseWriter) {
+        writer = responseWriter;
+        writePieces();
+    }
+
+    @Override
+    public void onDrained() {
+        if (!ended) {
+            writePieces();
+        }
+    }
+
+    private void writePieces() {
+        while (!pieces.isEmpty() && writer.isReadyForMore()) {
+            ByteBuffer piece = pieces.poll();
+            writer.writePart(piece);
+            memory.releasePart(piece.capacity());
+        }
+        if (pieces.isEmpty()) {
+            end();
+            writer.finishStream(MetaResponse.lineEnd());
+        }
+    }
+
+    @Override
+    public void abandon() {
+        if (!ended) {
+            end();
+        }
+    }
+
+    private void end() {
+        ended = true;
+        pieces.clear();
+        memory.release();
+    }
+}
--- a/proxy/src/main/java/spurroad/routing/ClientConnection.java
+++ b/proxy/src/main/java/spurroad/routing/ClientConnection.java
@@ -198,7 +198,7 @@
      * loop.
      */
     void answer(ProxiedRequest request, byte[] response, OutcomeStatistics.End end,
-                StreamedResponse streamed) {
+                LongResponse streamed) {
         if (isClosed() && streamed != null) {
             streamed.abandon();
         }
--- a/proxy/src/main/java/spurroad/routing/ClientConnections.java
+++ b/proxy/src/main/java/spurroad/routing/ClientConnections.java
@@ -24,14 +24,6 @@
 public final class ClientConnections implements Listener.AcceptHandler {
     /** Memory that a request without a long value holds while in flight, in bytes: a generous estimate. */
     static final int REQUEST_MEMORY_BYTES = 8192;
-    /** Divisor of the process's memory: the quotient is the budget for requests in flight. */
-    private static final int REQUEST_MEMORY_DIVISOR = 8;
-    /** Divisor of the request memory: the quotient is the budget for read-ahead, which few clients need. */
-    private static final int READ_AHEAD_DIVISOR = 4;
-    /**
-     * Divisor of the heap: the quotient bounds the request budget; responses and buffers take more memory.
-     */
-    private static final int HEAP_DIVISOR = 3;
     /** Number of connections closed when permits run out, so that they do not run out again immediately. */
     private static final int CLOSED_PER_PERMIT_SHORTAGE = 4;
     /**
@@ -43,7 +35,6 @@
     private static final long INACTIVITY_CHECK_INTERVAL_NANOS = 100_000_000L;
     /** A client that has sent nothing for this time sends rarely. */
     private static final long QUIET_AFTER_NANOS = 1_000_000_000L;
-    private static final long BYTES_PER_MIB = 1 << 20;
     private static final long NANOS_PER_MILLI = 1_000_000L;
 
     private record Candidate(ClientConnection connection, double overdue) {}
@@ -89,12 +80,10 @@
         rules = loadBalancer.rules();
         events = new ClientEventCounters(log, loop.now());
         configure(start.settings);
-        long memory = Math.min(start.memoryMb * BYTES_PER_MIB / REQUEST_MEMORY_DIVISOR,
-            Runtime.getRuntime().maxMemory() / HEAP_DIVISOR);
-        requestMemory = new MemoryBudget(
-            Math.min(memory, (long) start.settings.maxOpenRequests * REQUEST_MEMORY_BYTES));
-        uploadMemory = new MemoryBudget(Math.max(MetaCommand.MAX_VALUE_BYTES, memory / 2));
-        readAheadMemory = new MemoryBudget(memory / READ_AHEAD_DIVISOR);
+        MemoryPlan memory = MemoryPlan.of(start);
+        requestMemory = new MemoryBudget(memory.requestBytes());
+        uploadMemory = new MemoryBudget(memory.uploadBytes());
+        readAheadMemory = new MemoryBudget(memory.readAheadBytes());
         admission = new AdmissionController(start, loop, log, requestMemory, loadBalancer);
         loadBalancer.setAdmissionController(admission);
         loop.execute(this::closeInactive);
--- a/proxy/src/main/java/spurroad/routing/EndpointConnection.java
+++ b/proxy/src/main/java/spurroad/routing/EndpointConnection.java
@@ -23,6 +23,8 @@
     private static final long REPLY_STALL_NANOS = 300_000_000L;
     /** Maximum pause within a long value while the connection is being read. */
     private static final long STREAM_STALL_NANOS = 2_500_000_000L;
+    /** Divisor of the time left: the quotient is how long a value waits for memory before it is given up. */
+    private static final int MEMORY_WAIT_DIVISOR = 2;
     private static final byte[] LINE_END = MetaResponse.lineEnd();
 
     private final EndpointConnectionPool pool;
@@ -36,6 +38,8 @@
     private long readAtNanos;
     private StreamedResponse streamedResponse; // non-null while a long value is passed to a client
     private boolean reusableAfterStream;
+    private ReceivedValue receivedValue; // non-null while a value of unknown length is being received
+    private long memoryDeadlineNanos; // until when the value waits for memory; 0 before it has to
     // the fields below are maintained by the pool
     /** The current attempt; null while idle. */
     UpstreamRequest attempt;
@@ -184,6 +188,10 @@
             stream();
             return;
         }
+        if (receivedValue != null) {
+            receiveValue();
+            return;
+        }
         while (!closed && input.mayHaveMessage()) {
             try {
                 UpstreamReply reply = input.readMessage(parser);
@@ -196,12 +204,14 @@
                     beginStream(reply);
                     return;
                 }
+                if (reply.unsizedBody() != null) {
+                    receivedValue = new ReceivedValue(pool.replyMemory(), reply);
+                    receiveValue();
+                    return;
+                }
                 pool.onReply(this, attempt, input.available() == 0 ? reply : reply.withoutReuse());
             } catch (IOException failure) {
-                if (failure instanceof ProtocolException) {
-                    pool.onMalformedReply(failure.getMessage());
-                }
-                abort();
+                onReplyFailure(failure);
             }
         }
     }
@@ -210,10 +220,57 @@
         reusableAfterStream = reply.reusable();
         connection.setReading(false); // until earlier responses to the client are written
         streamedResponse = new StreamedResponse(this, reply.streamedBody());
-        attempt.streamedResponse = streamedResponse;
+        attempt.longResponse = streamedResponse;
         pool.onStreamedReply(this, attempt, reply);
     }
 
+    private void onReplyFailure(IOException failure) {
+        if (failure instanceof ProtocolException) {
+            pool.onMalformedReply(failure.getMessage());
+        }
+        abort();
+    }
+
+    // ---- replies of unknown length
+
+    /** Takes what has arrived of the value; reads on only while there is memory for it. */
+    private void receiveValue() {
+        try {
+            switch (receivedValue.receive(input)) {
+                case COMPLETE -> completeValue();
+                case BYTES_NEEDED -> {
+                    connection.setReading(true);
+                    updateStreamTimeout(true);
+                }
+                case MEMORY_NEEDED -> awaitMemory();
+            }
+        } catch (IOException failure) {
+            onReplyFailure(failure);
+        }
+    }
+
+    /** Leaves the rest of the value in the socket until there is memory for it, or time runs short. */
+    private void awaitMemory() {
+        long now = pool.now();
+        if (memoryDeadlineNanos == 0) {
+            memoryDeadlineNanos = now + (attempt.deadlineNanos - now) / MEMORY_WAIT_DIVISOR;
+        }
+        connection.setReading(false);
+        timeout.cancel();
+        timeout = pool.loop().schedule(memoryDeadlineNanos - now, () -> pool.onReplyWithoutMemory(attempt));
+        receivedValue.awaitMemory(this::receiveValue);
+    }
+
+    private void completeValue() {
+        BufferedResponse response = receivedValue.response();
+        UpstreamReply reply = receivedValue.reply(response, attempt.command().id(), input.available() == 0);
+        receivedValue = null;
+        timeout.cancel();
+        memoryDeadlineNanos = 0;
+        attempt.longResponse = response;
+        pool.onReply(this, attempt, reply);
+    }
+
     private UpstreamReply parseReply(ByteSource source) throws IOException {
         if (attempt == null || !attempt.fullySent) {
             throw new ProtocolException(UNEXPECTED_REPLY);
@@ -242,10 +299,15 @@
         }
         timeout.cancel();
         pool.onConnectionLost(this);
-        failStream();
+        failValue();
     }
 
-    private void failStream() {
+    /** Ends the long value that was being received, if there is one. */
+    private void failValue() {
+        if (receivedValue != null) {
+            receivedValue.release();
+            receivedValue = null;
+        }
         if (streamedResponse != null) {
             StreamedResponse broken = streamedResponse;
             streamedResponse = null;
@@ -275,7 +337,7 @@
         timeout.cancel();
         connection.close();
         pool.onConnectionLost(this);
-        failStream();
+        failValue();
     }
 
     /** Closes the connection and ignores all further input. */
@@ -283,6 +345,6 @@
         closed = true;
         timeout.cancel();
         connection.close();
-        failStream();
+        failValue();
     }
 }
--- a/proxy/src/main/java/spurroad/routing/EndpointConnectionPool.java
+++ b/proxy/src/main/java/spurroad/routing/EndpointConnectionPool.java
@@ -12,6 +12,7 @@
 import spurroad.transport.DescriptorBudget;
 import spurroad.transport.EventLog;
 import spurroad.transport.EventLoop;
+import spurroad.transport.GrowthBudget;
 
 /**
  * A pool of connections to one endpoint, a cache node or the origin. It executes attempts and ends each
@@ -22,6 +23,7 @@
     /**
      * The settings and services that all pools share.
      *
+     * @param replyMemory memory of values that are received completely before they are forwarded
      * @param connectTimeoutNanos maximum time to connect, and for an attempt to wait for a descriptor
      * @param idleTimeoutNanos time after which an endpoint closes an idle connection
      * @param reuseDelayNanos how long a connection stays unused after a reply, so that a surplus reply is
@@ -31,7 +33,8 @@
      * @param onForwarded called for each request that was sent in full
      */
     record Environment(EventLoop loop, EventLog log, RuleMonitor rules, DescriptorBudget descriptors,
-                       long connectTimeoutNanos, long idleTimeoutNanos, long reuseDelayNanos,
+                       GrowthBudget replyMemory, long connectTimeoutNanos, long idleTimeoutNanos,
+                       long reuseDelayNanos,
                        SocketFactory socketFactory, Runnable requestIdleClose, AttemptListener listener,
                        Runnable onForwarded) {}
 
@@ -306,6 +309,18 @@
         }
     }
 
+    /** Ends an attempt because there is no memory for its reply, which the endpoint has begun to send. */
+    void onReplyWithoutMemory(UpstreamRequest attempt) {
+        environment.log.warn("memory budget exhausted, reply given up", "endpoint=" + name + " " + attempt);
+        closeConnection(attempt);
+        end(attempt, withoutReply(Outcome.CANCELLED));
+    }
+
+    /** Returns the memory of values that are received completely before they are forwarded. */
+    GrowthBudget replyMemory() {
+        return environment.replyMemory;
+    }
+
     /** Handles an established connection whose attempt must not be sent: the next attempt may use it. */
     void onNotSent(EndpointConnection connection, UpstreamRequest attempt, Outcome obstacle) {
         connection.attempt = null;
--- a/proxy/src/main/java/spurroad/routing/LoadBalancerThread.java
+++ b/proxy/src/main/java/spurroad/routing/LoadBalancerThread.java
@@ -17,6 +17,7 @@
 import spurroad.transport.DescriptorBudget;
 import spurroad.transport.EventLog;
 import spurroad.transport.EventLoop;
+import spurroad.transport.GrowthBudget;
 import spurroad.transport.Mailbox;
 import spurroad.transport.StallDetector;
 import spurroad.transport.Threads;
@@ -80,6 +81,7 @@
         RequestCounters counters = new RequestCounters();
         endpoints = new EndpointRegistry(
             new EndpointConnectionPool.Environment(loop, log, rules, descriptors,
+                new GrowthBudget(MemoryPlan.of(configuration).replyBytes(), loop::execute),
                 settings.connectTimeoutNanos, settings.deployment.idleTimeoutNanos(), reuseDelayNanos,
                 socketFactory, this::onDescriptorShortage, this::onAttemptEnd, statistics::onForwarded),
             outbox, settings);
--- a/proxy/src/main/java/spurroad/routing/RequestEvents.java
+++ b/proxy/src/main/java/spurroad/routing/RequestEvents.java
@@ -126,9 +126,9 @@
             request.finished = true;
             counters.onSucceeded();
             outbox.add(new ResponseMessage(request, reply.response(), OutcomeStatistics.End.SUCCEEDED,
-                attempt.streamedResponse));
-        } else if (attempt.streamedResponse != null) {
-            outbox.add(attempt.streamedResponse::abandon);
+                attempt.longResponse));
+        } else if (attempt.longResponse != null) {
+            outbox.add(attempt.longResponse::abandon);
         }
         balancer.onAttemptEnd(clock.now(), request.id, attempt.index, reply.outcome(), reply.loadReport(),
             request.finished, stalls.totalNanos() - attempt.stalledNanosAtDecision, executor.cleared());
--- a/proxy/src/main/java/spurroad/routing/ResponseMessage.java
+++ b/proxy/src/main/java/spurroad/routing/ResponseMessage.java
@@ -7,7 +7,7 @@
  * @param streamed the long value that follows the response; null if there is none
  */
 record ResponseMessage(ProxiedRequest request, byte[] response, OutcomeStatistics.End end,
-                       StreamedResponse streamed)
+                       LongResponse streamed)
     implements
         Runnable {
     @Override
--- a/proxy/src/main/java/spurroad/routing/ResponseSlot.java
+++ b/proxy/src/main/java/spurroad/routing/ResponseSlot.java
@@ -13,7 +13,7 @@
     /** Bytes of the response without a long value; null while the response is awaited. */
     byte[] response;
     /** Long value that follows the response; null if there is none, or once it was passed on completely. */
-    StreamedResponse streamed;
+    LongResponse streamed;
     /** Whether this is the last response: the connection is closed after it. */
     boolean last;
     private long uploadBytes;
--- a/proxy/src/main/java/spurroad/routing/ResponseWriter.java
+++ b/proxy/src/main/java/spurroad/routing/ResponseWriter.java
@@ -96,7 +96,7 @@
      * Puts the final response of a request into its slot; does nothing if the request has no slot any more.
      */
     void respond(ProxiedRequest request, byte[] response, OutcomeStatistics.End end,
-                 StreamedResponse streamed) {
+                 LongResponse streamed) {
         ResponseSlot slot = slotOf(request);
         if (slot == null) {
             return;
--- a/proxy/src/main/java/spurroad/routing/StreamedResponse.java
+++ b/proxy/src/main/java/spurroad/routing/StreamedResponse.java
@@ -9,7 +9,7 @@
  * immediately, and no more is read than the client accepts. It ends exactly once: complete, broken off by the
  * endpoint, or abandoned by the client. Used on the event loop only.
  */
-final class StreamedResponse {
+final class StreamedResponse implements LongResponse {
     private final EndpointConnection endpointConnection;
     private final boolean followedByLineEnd;
     private long remaining;
@@ -34,10 +34,9 @@
 
     // ---- called by the client's connection
 
-    /**
-     * Starts writing once the responses before this one are written: forwards what was read, and reads more.
-     */
-    void start(ResponseWriter responseWriter) {
+    /** Forwards what was read, and reads more. */
+    @Override
+    public void start(ResponseWriter responseWriter) {
         writer = responseWriter;
         if (ended) {
             responseWriter.breakStream();
@@ -46,15 +45,15 @@
         }
     }
 
-    /** Reads more after the operating system has accepted everything written to the client. */
-    void onDrained() {
+    @Override
+    public void onDrained() {
         if (!ended) {
             endpointConnection.stream();
         }
     }
 
-    /** Abandons the value because the client disconnected or the request already has its response. */
-    void abandon() {
+    @Override
+    public void abandon() {
         if (!ended) {
             ended = true;
             endpointConnection.abandonStream();
--- a/proxy/src/main/java/spurroad/routing/UpstreamRequest.java
+++ b/proxy/src/main/java/spurroad/routing/UpstreamRequest.java
@@ -38,7 +38,7 @@
     int incarnation;
     boolean ended;
     /** The long value of the reply, or null if the reply has none. */
-    StreamedResponse streamedResponse;
+    LongResponse longResponse;
 
     UpstreamRequest(ProxiedRequest request, int index, EndpointConnectionPool pool, long deadlineNanos,
                     long sendDeadlineNanos, long stalledNanosAtDecision) {
