Uploads reserve memory as they arrive, and wait for it half of their timeout at most

Cause: a value of over 64 KiB reserved its full length with its first line, so what slow writers had not sent yet took all memory for uploads; and a write that found none was tried again every 20 ms without an end: no code looked at its deadline, or answered for want of memory.

Why this works: a piece is reserved before it is filled, pieces begin at 4 KiB and double, and no more is read from the socket than the piece holds (4 KiB at least). GrowthBudget grants growth only while all values can still become complete. Waits count together; after half of the timeout, counted from a time before which the last byte can't be known to have come, the write is answered busy at once, its memory released and the rest of the value discarded, so that the connection stays usable.

DisconnectDetector learns from the connection whether a read may have left bytes, as reads are no longer all of 64 KiB.

--- a/proxy/src/main/java/spurroad/routing/ClientConnection.java
+++ b/proxy/src/main/java/spurroad/routing/ClientConnection.java
@@ -5,6 +5,7 @@
 import spurroad.protocol.MetaCommand;
 import spurroad.protocol.MetaResponse;
 import spurroad.transport.Connection;
+import spurroad.transport.GrowthBudget;
 
 /**
  * Connection of a client. Answers its commands or admits them as requests, and closes the connection if its
@@ -18,6 +19,8 @@
         ResponseWriter.Owner,
         CommandReader.Owner {
     private static final int MAX_PIPELINED_COMMANDS = 16; // read and not answered yet
+    /** Divisor of a client's timeout: the quotient is how long its upload may wait for memory. */
+    private static final int UPLOAD_WAIT_DIVISOR = 2;
     /** Input that is discarded at most while the last responses are being delivered. */
     private static final int MAX_DISCARDED_BYTES = 256 * 1024;
 
@@ -127,9 +130,9 @@
     // ---- commands
 
     @Override
-    public void onCommand(MetaCommand command, long uploadBytes, long arrivedAtNanos) {
+    public void onCommand(MetaCommand command, GrowthBudget.Reservation uploadMemory, long arrivedAtNanos) {
         ResponseSlot slot = responses.append();
-        slot.setUploadBytes(uploadBytes);
+        slot.setUploadMemory(uploadMemory);
         slot.response = switch (command.kind) {
             case INVALID ->
                 command.unrecoverable ? rejectMalformedInput(slot, command.errorResponse)
@@ -140,6 +143,34 @@
         responses.flush();
     }
 
+    @Override
+    public void onUploadGivenUp(MetaCommand command) {
+        ResponseSlot slot = responses.append();
+        int requestClass = clients.requestClass(command);
+        String fault = clients.commandError(command, requestClass, clients.tenant(command));
+        slot.response = fault != null ? pauseAfterError(fault)
+            : clients.intake.rejectWithoutMemory(this, slot, requestClass);
+        responses.flush();
+    }
+
+    /** Closes as after a response: the one to this upload was written before the upload had ended. */
+    @Override
+    public void onUploadDiscarded() {
+        if (guest || clients.isShuttingDown()) {
+            closeBetweenCommands();
+        }
+    }
+
+    /**
+     * Returns half of the client's timeout, from the start of the upload: the last byte may already be
+     * waiting in the socket, and the request has to be answered in time, or served in what is left.
+     */
+    @Override
+    public long maxUploadWaitNanos(MetaCommand command) {
+        long now = clients.now();
+        return (clients.deadlineNanos(now, command.timeoutMillis()) - now) / UPLOAD_WAIT_DIVISOR;
+    }
+
     @Override
     public void onUploadFailed(String fault) {
         sendLastResponse(fault);
--- a/proxy/src/main/java/spurroad/routing/ClientConnections.java
+++ b/proxy/src/main/java/spurroad/routing/ClientConnections.java
@@ -13,6 +13,7 @@
 import spurroad.transport.Connection;
 import spurroad.transport.EventLog;
 import spurroad.transport.EventLoop;
+import spurroad.transport.GrowthBudget;
 import spurroad.transport.Listener;
 import spurroad.transport.MemoryBudget;
 
@@ -44,7 +45,7 @@
     final LoadBalancerThread loadBalancer;
     final MemoryBudget requestMemory;
     /** Additional budget for long values that clients upload. */
-    final MemoryBudget uploadMemory;
+    final GrowthBudget uploadMemory;
     /**
      * Additional budget for input that clients send before their earlier responses, beyond the first chunk.
      */
@@ -82,7 +83,7 @@
         configure(start.settings);
         MemoryPlan memory = MemoryPlan.of(start);
         requestMemory = new MemoryBudget(memory.requestBytes());
-        uploadMemory = new MemoryBudget(memory.uploadBytes());
+        uploadMemory = new GrowthBudget(memory.uploadBytes(), loop::execute);
         readAheadMemory = new MemoryBudget(memory.readAheadBytes());
         admission = new AdmissionController(start, loop, log, requestMemory, loadBalancer);
         loadBalancer.setAdmissionController(admission);
--- a/proxy/src/main/java/spurroad/routing/CommandReader.java
+++ b/proxy/src/main/java/spurroad/routing/CommandReader.java
@@ -6,6 +6,7 @@
 import spurroad.protocol.ProtocolException;
 import spurroad.transport.Connection;
 import spurroad.transport.EventLoop;
+import spurroad.transport.GrowthBudget;
 
 /**
  * Reads commands and uploads from a client connection, up to the limit of pipelined commands; further input
@@ -33,8 +34,20 @@
         /** Called when the client has disconnected, or sends input that can never become a command. */
         void onClosed();
 
-        /** Called for each complete command; the owner releases the bytes reserved for its long value. */
-        void onCommand(MetaCommand command, long uploadBytes, long arrivedAtNanos);
+        /**
+         * Called for each complete command; the owner releases the memory of its long value, which is null if
+         * it has none.
+         */
+        void onCommand(MetaCommand command, GrowthBudget.Reservation uploadMemory, long arrivedAtNanos);
+
+        /** Called when there was no memory for an upload for so long that the write can't be served. */
+        void onUploadGivenUp(MetaCommand command);
+
+        /** Called when the rest of an upload that was given up has arrived and was discarded. */
+        void onUploadDiscarded();
+
+        /** Returns how long an upload may wait for memory, in nanoseconds. */
+        long maxUploadWaitNanos(MetaCommand command);
 
         /** Called when an upload is malformed, so that the input after it can't be parsed. */
         void onUploadFailed(String fault);
@@ -45,7 +58,8 @@
      * clients.
      */
     private static final int MAX_COMMANDS_PER_TURN = 16;
-    private static final long UPLOAD_RETRY_NANOS = 20_000_000L; // between attempts to reserve memory
+    /** Bytes that a read may always bring: what has no memory then is kept in the read-ahead buffer. */
+    private static final int MIN_READ_BYTES = 4 * 1024;
 
     private final Owner owner;
     private final Connection connection;
@@ -54,6 +68,8 @@
     private final ReadAheadBuffer buffer;
     private final DisconnectDetector disconnects;
     private final UploadReceiver upload;
+    private EventLoop.Timer uploadTimeout; // while an upload waits for memory
+    private boolean processing;
     private boolean processingScheduled;
 
     CommandReader(Owner owner, ClientConnections clients, Connection connection, ClientActivity activity) {
@@ -98,12 +114,12 @@
 
     /** Aborts the upload under way, if there is one. */
     void abortUpload() {
-        upload.abort();
+        endUpload();
     }
 
     /** Releases all memory after the connection was closed. */
     void close() {
-        upload.abort();
+        endUpload();
         buffer.releaseAll();
     }
 
@@ -134,7 +150,7 @@
     /** Processes bytes that were read from the connection. */
     void onRead(ByteBuffer bytes) {
         activity.onRead(loop.now());
-        disconnects.onRead(bytes.remaining());
+        disconnects.onRead(connection.lastReadMayHaveLeftBytes());
         if (upload.isActive()) {
             // all bytes at once: the processing that follows may read more into the same buffer
             onUploadBytes(bytes, connection.earliestArrivalNanos());
@@ -148,6 +164,19 @@
 
     /** Processes the complete commands, up to the limit of pipelined commands. */
     void processCommands() {
+        if (processing) {
+            return; // a command that was just processed was an upload, and the loop below goes on
+        }
+        processing = true;
+        processBufferedCommands();
+        processing = false;
+        buffer.releaseUnneeded();
+        if (!isClosed()) {
+            readOrWait();
+        }
+    }
+
+    private void processBufferedCommands() {
         int taken = 0;
         while (owner.canTakeCommand() && !upload.isActive() && buffer.isWorthParsing()) {
             if (taken++ == MAX_COMMANDS_PER_TURN) {
@@ -159,15 +188,11 @@
                 break;
             }
             if (command.hasLongValue()) {
-                beginUpload(new UploadBuffer(command));
+                beginUpload(command);
             } else {
-                owner.onCommand(command, 0, buffer.commandArrivedAtNanos());
+                owner.onCommand(command, null, buffer.commandArrivedAtNanos());
             }
         }
-        buffer.releaseUnneeded();
-        if (!isClosed()) {
-            readOrWait();
-        }
     }
 
     /** Returns the next command; null if it is incomplete or the connection was closed. */
@@ -216,21 +241,20 @@
 
     // ---- uploads
 
-    private void beginUpload(UploadBuffer next) {
-        if (!upload.tryBegin(next)) {
-            setReading(false);
-            loop.schedule(UPLOAD_RETRY_NANOS, () -> {
-                if (!isClosed()) {
-                    beginUpload(next);
-                }
-            });
-            return;
-        }
-        setReading(true);
+    private void beginUpload(MetaCommand command) {
+        upload.begin(command, owner.maxUploadWaitNanos(command));
+        continueUpload();
+    }
+
+    /** Takes what is buffered of the value, and reads more. */
+    private void continueUpload() {
         activity.onRead(loop.now()); // the client could not send until now
+        setReading(true);
         if (!buffer.isEmpty()) {
             long arrivedAtNanos = buffer.earliestArrivalNanos();
-            onUploadBytes(ByteBuffer.wrap(buffer.takeAll()), arrivedAtNanos);
+            ByteBuffer bytes = ByteBuffer.wrap(buffer.takeAll());
+            buffer.releaseUnneeded();
+            onUploadBytes(bytes, arrivedAtNanos);
         }
     }
 
@@ -240,27 +264,72 @@
             return;
         }
         try {
-            if (upload.receive(bytes)) {
-                completeUpload(bytes, arrivedAtNanos);
+            switch (upload.receive(bytes)) {
+                case COMPLETE -> completeUpload(bytes, arrivedAtNanos);
+                case MEMORY_NEEDED -> awaitUploadMemory(bytes, arrivedAtNanos);
+                case BYTES_NEEDED -> connection.setMaxReadBytes(uploadReadBytes());
             }
         } catch (ProtocolException e) {
-            upload.abort();
+            endUpload();
             owner.onUploadFailed(e.getMessage());
         }
     }
 
+    private int uploadReadBytes() {
+        return upload.isDiscarding() ? Integer.MAX_VALUE : Math.max(MIN_READ_BYTES, upload.freeBytes());
+    }
+
+    /** Leaves the rest of the value in the socket until there is memory for it, or the wait is too long. */
+    private void awaitUploadMemory(ByteBuffer rest, long arrivedAtNanos) {
+        buffer.append(rest, arrivedAtNanos);
+        long maxWaitNanos = upload.awaitMemory(loop.now(), this::resumeUpload);
+        uploadTimeout = loop.schedule(maxWaitNanos, this::giveUpUpload);
+        setReading(false);
+    }
+
+    private void resumeUpload() {
+        uploadTimeout.cancel();
+        upload.resume(loop.now());
+        continueUpload();
+    }
+
+    /** Answers a write for whose value there is no memory, and discards the rest of the value. */
+    private void giveUpUpload() {
+        upload.giveUp();
+        owner.onUploadGivenUp(upload.command());
+        if (!isClosed()) {
+            connection.setMaxReadBytes(Integer.MAX_VALUE);
+            continueUpload();
+        }
+    }
+
     private void completeUpload(ByteBuffer rest, long arrivedAtNanos) {
-        MetaCommand command = upload.command();
-        long reservedBytes = upload.finish();
+        connection.setMaxReadBytes(Integer.MAX_VALUE);
         if (rest.hasRemaining()) {
             buffer.append(rest, arrivedAtNanos);
         }
+        if (upload.isDiscarding()) {
+            upload.abort();
+            owner.onUploadDiscarded();
+            processCommands();
+            return;
+        }
+        MetaCommand command = upload.command();
+        GrowthBudget.Reservation memory = upload.finish();
         // the client may have disconnected while the upload waited for memory
         if (disconnects.checkConnected()) {
-            owner.onCommand(command, reservedBytes, arrivedAtNanos);
+            owner.onCommand(command, memory, arrivedAtNanos);
             processCommands();
         } else {
-            upload.release(reservedBytes);
+            memory.release();
         }
     }
+
+    private void endUpload() {
+        if (uploadTimeout != null) {
+            uploadTimeout.cancel();
+        }
+        upload.abort();
+        connection.setMaxReadBytes(Integer.MAX_VALUE);
+    }
 }
--- a/proxy/src/main/java/spurroad/routing/DisconnectDetector.java
+++ b/proxy/src/main/java/spurroad/routing/DisconnectDetector.java
@@ -42,7 +42,7 @@
     private boolean checkScheduled;
     private boolean readingAhead;
     private long checkedAtNanos; // when a disconnect was last looked for after all input
-    private boolean mayHaveUnreadInput; // the last read filled its buffer
+    private boolean mayHaveUnreadInput; // the last read returned as many bytes as it could
 
     DisconnectDetector(Owner owner, Connection connection, ReadAheadBuffer buffer, EventLoop loop) {
         this.owner = owner;
@@ -52,12 +52,12 @@
     }
 
     /**
-     * Notes a read of the given number of bytes: more input may be unread if it filled a chunk. Ignores the
-     * reads of this detector, which checks its own buffer.
+     * Notes a read, after which more input may be unread. Ignores the reads of this detector, which checks
+     * its own buffer.
      */
-    void onRead(int bytes) {
+    void onRead(boolean mayHaveLeftBytes) {
         if (!readingAhead) {
-            mayHaveUnreadInput = bytes >= ReadAheadBuffer.CHUNK_BYTES;
+            mayHaveUnreadInput = mayHaveLeftBytes;
         }
     }
 
--- a/proxy/src/main/java/spurroad/routing/RequestIntake.java
+++ b/proxy/src/main/java/spurroad/routing/RequestIntake.java
@@ -29,9 +29,7 @@
         if (isIdInUse(client, command)) {
             return client.rejectCommand("CLIENT_ERROR request id in use");
         }
-        slot.statistics = clients.statistics(requestClass);
-        slot.statistics.onRequest();
-        slot.end = OutcomeStatistics.End.DECLINED; // unless it is admitted
+        count(slot, requestClass);
         if (client.isGuest()) {
             return reject(RejectionReason.NO_PLACE, clients.admission.busyResponse());
         }
@@ -44,8 +42,7 @@
         }
         long bytes = ClientConnections.REQUEST_MEMORY_BYTES + command.value.length;
         if (!clients.requestMemory.tryReserve(bytes)) {
-            clients.log.warn("memory budget exhausted, request rejected", client);
-            return reject(RejectionReason.NO_ROOM, clients.admission.busyResponse());
+            return rejectForMemory(client);
         }
         slot.setRequestBytes(bytes);
         slot.request = new ProxiedRequest(client, command, new RequestClassId(requestClass), slot.statistics,
@@ -56,6 +53,24 @@
         return null;
     }
 
+    /** Returns the response to a write whose value was given up because there was no memory for it. */
+    byte[] rejectWithoutMemory(ClientConnection client, ResponseSlot slot, int requestClass) {
+        count(slot, requestClass);
+        return rejectForMemory(client);
+    }
+
+    private byte[] rejectForMemory(ClientConnection client) {
+        clients.log.warn("memory budget exhausted, request rejected", client);
+        return reject(RejectionReason.NO_ROOM, clients.admission.busyResponse());
+    }
+
+    /** Counts a request, as declined unless it is admitted. */
+    private void count(ResponseSlot slot, int requestClass) {
+        slot.statistics = clients.statistics(requestClass);
+        slot.statistics.onRequest();
+        slot.end = OutcomeStatistics.End.DECLINED;
+    }
+
     /** Returns whether another request with the same id is in flight for a client that is still connected. */
     private boolean isIdInUse(ClientConnection client, MetaCommand command) {
         ProxiedRequest sameId = client.isGuest() ? null : clients.openRequests.get(command.id());
--- a/proxy/src/main/java/spurroad/routing/ResponseSlot.java
+++ b/proxy/src/main/java/spurroad/routing/ResponseSlot.java
@@ -1,5 +1,7 @@
 package spurroad.routing;
 
+import spurroad.transport.GrowthBudget;
+
 /**
  * Slot for the response to one command in the response order of a connection, with the memory reserved for
  * it. Used on the event loop only.
@@ -16,13 +18,13 @@
     LongResponse streamed;
     /** Whether this is the last response: the connection is closed after it. */
     boolean last;
-    private long uploadBytes;
+    private GrowthBudget.Reservation uploadMemory; // null if the command has no long value
     private long requestBytes;
     private long responseBytes;
 
-    /** Records the memory that was reserved for an upload, in bytes. */
-    void setUploadBytes(long bytes) {
-        uploadBytes = bytes;
+    /** Records the memory of the command's long value; null if it has none. */
+    void setUploadMemory(GrowthBudget.Reservation memory) {
+        uploadMemory = memory;
     }
 
     void setRequestBytes(long bytes) {
@@ -54,7 +56,9 @@
     void release(ClientConnections clients) {
         clients.requestMemory.release(requestBytes);
         clients.requestMemory.release(responseBytes);
-        clients.uploadMemory.release(uploadBytes);
-        requestBytes = responseBytes = uploadBytes = 0;
+        requestBytes = responseBytes = 0;
+        if (uploadMemory != null) {
+            uploadMemory.release();
+        }
     }
 }
--- a/proxy/src/main/java/spurroad/routing/UploadReceiver.java
+++ b/proxy/src/main/java/spurroad/routing/UploadReceiver.java
@@ -3,33 +3,37 @@
 import java.nio.ByteBuffer;
 import spurroad.protocol.MetaCommand;
 import spurroad.protocol.ProtocolException;
-import spurroad.transport.MemoryBudget;
+import spurroad.transport.GrowthBudget;
 
 /**
- * Receives long values of writes, one at a time. A value is read once memory for all of it is reserved; until
- * then it is left in the socket. Used on the event loop only.
+ * Receives long values of writes, one at a time. Memory is reserved as the bytes arrive; without memory the
+ * rest is left in the socket until there is some, or until the wait has taken so long that the write is given
+ * up. Then the rest is received and discarded. Used on the event loop only.
  */
 final class UploadReceiver {
     private enum State {
-        NONE, WAITING_FOR_MEMORY, RECEIVING
+        NONE, RECEIVING, WAITING_FOR_MEMORY
     }
 
-    private final MemoryBudget budget;
+    private final GrowthBudget budget;
     private State state = State.NONE;
     private UploadBuffer buffer;
-    private long reservedBytes;
+    private long remainingWaitNanos;
+    private long waitingSinceNanos;
 
-    UploadReceiver(MemoryBudget budget) {
+    UploadReceiver(GrowthBudget budget) {
         this.budget = budget;
     }
 
-    /** Starts receiving; returns false if memory is short, and is then to be called again later. */
-    boolean tryBegin(UploadBuffer next) {
-        buffer = next;
-        boolean reserved = budget.tryReserve(next.command.valueLength());
-        state = reserved ? State.RECEIVING : State.WAITING_FOR_MEMORY;
-        reservedBytes = reserved ? next.command.valueLength() : 0;
-        return reserved;
+    /**
+     * Starts receiving.
+     *
+     * @param maxWaitNanos how long the value may wait for memory in all
+     */
+    void begin(MetaCommand command, long maxWaitNanos) {
+        buffer = new UploadBuffer(command, budget);
+        remainingWaitNanos = maxWaitNanos;
+        state = State.RECEIVING;
     }
 
     /** Returns whether a value is being received or waits for memory. */
@@ -45,32 +49,67 @@
         return state == State.RECEIVING;
     }
 
-    /** Consumes the bytes that belong to the value; returns true once it is complete. */
-    boolean receive(ByteBuffer bytes) throws ProtocolException {
+    /** Returns whether the value was given up. */
+    boolean isDiscarding() {
+        return buffer.isDiscarding();
+    }
+
+    /** Consumes the bytes that belong to the value, as far as there is memory for them. */
+    UploadBuffer.Progress receive(ByteBuffer bytes) throws ProtocolException {
         return buffer.take(bytes);
     }
 
+    /** Returns the most bytes that a read may bring without many of them having to wait for memory. */
+    int freeBytes() {
+        return buffer.freeBytes();
+    }
+
     /** Returns the command whose value is being received. */
     MetaCommand command() {
         return buffer.command;
     }
 
-    /** Ends a complete upload and returns its reserved bytes, which the caller must release. */
-    long finish() {
-        long bytes = reservedBytes;
-        reservedBytes = 0;
-        buffer = null;
-        state = State.NONE;
-        return bytes;
+    /**
+     * Waits for the memory that {@link #receive} needed, and then runs a task.
+     *
+     * @return for how long to wait at most, in nanoseconds
+     */
+    long awaitMemory(long now, Runnable onAvailable) {
+        state = State.WAITING_FOR_MEMORY;
+        waitingSinceNanos = now;
+        buffer.awaitMemory(onAvailable);
+        return remainingWaitNanos;
+    }
+
+    /** Continues to receive with the memory that was awaited. */
+    void resume(long now) {
+        remainingWaitNanos -= now - waitingSinceNanos;
+        state = State.RECEIVING;
+    }
+
+    /** Gives the value up: releases its memory, and goes on receiving in order to discard the rest. */
+    void giveUp() {
+        buffer.discardRest();
+        state = State.RECEIVING;
     }
 
-    /** Releases the memory of a finished upload that is no longer needed. */
-    void release(long bytes) {
-        budget.release(bytes);
+    /** Ends a complete upload and returns its memory, which the caller must release. */
+    GrowthBudget.Reservation finish() {
+        GrowthBudget.Reservation memory = buffer.complete();
+        end();
+        return memory;
     }
 
     /** Aborts an incomplete upload and releases its memory; does nothing if there is none. */
     void abort() {
-        budget.release(finish());
+        if (buffer != null) {
+            buffer.release();
+            end();
+        }
+    }
+
+    private void end() {
+        buffer = null;
+        state = State.NONE;
     }
 }
--- a/proxy/src/main/java/spurroad/transport/Connection.java
+++ b/proxy/src/main/java/spurroad/transport/Connection.java
@@ -49,6 +49,8 @@
     private final ReadArrivalTracker arrivalTracker;
     private Handler handler;
     private State state = State.OPEN;
+    private int maxReadBytes = Integer.MAX_VALUE; // of reads by the event loop
+    private boolean lastReadMayHaveLeftBytes;
     private boolean closesUnlessInputArrives; // until it is closed or input arrives
 
     /**
@@ -85,7 +87,7 @@
     public void open(Handler handler) {
         register(handler, SelectionKey.OP_READ);
         if (!isClosed() && arrivalTracker.mayHaveUnreadBytes()) {
-            read(loop.readBuffer.capacity()); // immediately, as bytes that arrive later were not queued
+            read(maxReadBytes); // immediately, as bytes that arrive later were not queued
         }
     }
 
@@ -127,7 +129,7 @@
             handler.onDrained();
         }
         if (!isClosed() && (operations & SelectionKey.OP_READ) != 0) {
-            read(loop.readBuffer.capacity());
+            read(maxReadBytes);
         }
     }
 
@@ -155,7 +157,8 @@
             int limit = Math.min(maxBytes, buffer.capacity());
             buffer.clear().limit(limit);
             int count = InterruptedReads.readRetrying(source, buffer);
-            arrivalTracker.onRead(count == limit, isReading());
+            lastReadMayHaveLeftBytes = count == limit;
+            arrivalTracker.onRead(lastReadMayHaveLeftBytes, isReading());
             if (count > 0) {
                 closesUnlessInputArrives = false;
                 handler.onRead(buffer.flip());
@@ -169,6 +172,16 @@
         }
     }
 
+    /** Limits how many bytes a read returns, as the handler has memory for no more. */
+    public void setMaxReadBytes(int bytes) {
+        maxReadBytes = bytes;
+    }
+
+    /** Returns whether the last read returned as many bytes as it could, so that more may be unread. */
+    public boolean lastReadMayHaveLeftBytes() {
+        return lastReadMayHaveLeftBytes;
+    }
+
     /**
      * Returns the earliest time at which the bytes of the last read can have arrived, in Unix nanoseconds.
      * They may have been unread while the event loop was busy or while reading was paused.
@@ -182,7 +195,7 @@
      * connection is closed.
      */
     public boolean readAvailable() {
-        return readAvailable(loop.readBuffer.capacity());
+        return readAvailable(maxReadBytes);
     }
 
     /** Does the same as {@link #readAvailable()}, but reads at most {@code maxBytes}. */
@@ -211,7 +224,7 @@
      */
     private void readAfterPause() {
         if (isReading() && arrivalTracker.mayHaveUnreadBytes()) {
-            read(loop.readBuffer.capacity());
+            read(maxReadBytes);
         }
     }
 
