Values of writes over 1 KiB are reserved as they arrive, as long ones are

Cause: the first 64 KiB of a connection's input needed no reservation, and a value of up to 64 KiB was a part of its command, allocated whole with its second piece.

Why this works: a value of over 1 KiB takes the way of the long ones, so its memory is reserved before it is read, and a write that finds none is answered after half of its timeout. Without a reservation a connection holds 8 KiB, and no read brings more. A complete value of up to 64 KiB is counted with its request, as before.

--- a/proxy/src/main/java/spurroad/protocol/MetaCommand.java
+++ b/proxy/src/main/java/spurroad/protocol/MetaCommand.java
@@ -51,7 +51,12 @@
 
     /** Returns an invalid command after which the next command can be read. */
     private static MetaCommand invalid(String response) {
-        return new MetaCommand(Kind.INVALID, response, false, CommandLine.NONE, NO_VALUE, 0);
+        return invalidBeforeValue(response, 0);
+    }
+
+    /** Returns an invalid command after whose long value, if it has one, the next command can be read. */
+    private static MetaCommand invalidBeforeValue(String response, int longValueBytes) {
+        return new MetaCommand(Kind.INVALID, response, false, CommandLine.NONE, NO_VALUE, longValueBytes);
     }
 
     /** Returns an invalid command after which nothing more can be read from the connection. */
@@ -62,11 +67,22 @@
     // ---- reading
 
     /**
-     * Reads the next command, without the value if that is a long one; returns null at the end of the stream.
+     * Reads the next command, without the value if that is longer than {@link #MAX_BUFFERED_VALUE_BYTES};
+     * returns null at the end of the stream.
      *
      * @throws IOException if reading fails, or the stream ends inside the command
      */
     public static MetaCommand read(ByteSource in) throws IOException {
+        return read(in, MAX_BUFFERED_VALUE_BYTES);
+    }
+
+    /**
+     * Reads the next command, without the value if that is longer than a maximum. An invalid command may have
+     * a long value, too, which follows and is to be discarded.
+     *
+     * @param maxValueBytes the maximum, not over {@link #MAX_BUFFERED_VALUE_BYTES}
+     */
+    public static MetaCommand read(ByteSource in, int maxValueBytes) throws IOException {
         String line;
         try {
             line = in.readLine(MAX_LINE_BYTES);
@@ -81,7 +97,7 @@
         return switch (commandEnd < 0 ? line : line.substring(0, commandEnd)) {
             case "mn" -> READINESS_CHECK;
             case "mg" -> parseRequest(Kind.READ, line, NO_VALUE, 0);
-            case "ms" -> readWriteCommand(line, in);
+            case "ms" -> readWriteCommand(line, in, maxValueBytes);
             default -> invalid("ERROR");
         };
     }
@@ -94,14 +110,14 @@
         return line.substring(0, end);
     }
 
-    private static MetaCommand readWriteCommand(String line, ByteSource in) throws IOException {
+    private static MetaCommand readWriteCommand(String line, ByteSource in, int maxValueBytes)
+        throws IOException {
         long length = parseValueLength(line);
         if (length < 0 || length > MAX_VALUE_BYTES) {
             return unrecoverable("CLIENT_ERROR bad length");
         }
-        if (length > MAX_BUFFERED_VALUE_BYTES) {
-            MetaCommand write = parseRequest(Kind.WRITE, line, NO_VALUE, (int) length);
-            return write.kind == Kind.INVALID ? unrecoverable(write.errorResponse) : write;
+        if (length > maxValueBytes) {
+            return parseLongWrite(line, (int) length);
         }
         byte[] value = in.readFully((int) length);
         try {
@@ -112,6 +128,15 @@
         return parseRequest(Kind.WRITE, line, value, 0);
     }
 
+    private static MetaCommand parseLongWrite(String line, int length) {
+        MetaCommand write = parseRequest(Kind.WRITE, line, NO_VALUE, length);
+        if (write.kind != Kind.INVALID) {
+            return write;
+        }
+        return length > MAX_BUFFERED_VALUE_BYTES ? unrecoverable(write.errorResponse)
+            : invalidBeforeValue(write.errorResponse, length);
+    }
+
     /** Returns the value length in bytes, which is the third token; -1 if that is not a number. */
     private static long parseValueLength(String line) {
         int keyFrom = line.indexOf(' ') + 1;
--- a/proxy/src/main/java/spurroad/routing/CommandReader.java
+++ b/proxy/src/main/java/spurroad/routing/CommandReader.java
@@ -60,6 +60,8 @@
     private static final int MAX_COMMANDS_PER_TURN = 16;
     /** Bytes that a read may always bring: what has no memory then is kept in the read-ahead buffer. */
     private static final int MIN_READ_BYTES = 4 * 1024;
+    /** Bytes that a read may bring if they are discarded. */
+    private static final int MAX_READ_BYTES = 64 * 1024;
 
     private final Owner owner;
     private final Connection connection;
@@ -80,6 +82,7 @@
         buffer = new ReadAheadBuffer(clients.readAheadMemory);
         disconnects = new DisconnectDetector(this, connection, buffer, loop);
         upload = new UploadReceiver(clients.uploadMemory);
+        connection.setMaxReadBytes(ReadAheadBuffer.CHUNK_BYTES);
     }
 
     // ---- state
@@ -213,7 +216,7 @@
     private void readOrWait() {
         boolean takesCommands = owner.canTakeCommand() && !processingScheduled
             && !upload.isWaitingForMemory();
-        if (takesCommands && !buffer.isEmpty()) {
+        if (takesCommands && (!buffer.isEmpty() || isReceivingShortValue())) {
             activity.onPartialCommand(loop.now());
         } else {
             activity.onNoPartialCommand();
@@ -221,6 +224,12 @@
         setReading(takesCommands || owner.discardsInput());
     }
 
+    /** Returns whether a value is being received whose command has to arrive within a time in all. */
+    private boolean isReceivingShortValue() {
+        return upload.isReceiving()
+            && upload.command().valueLength() <= MetaCommand.MAX_BUFFERED_VALUE_BYTES;
+    }
+
     private void setReading(boolean on) {
         connection.setReading(on);
         if (!on) {
@@ -276,7 +285,7 @@
     }
 
     private int uploadReadBytes() {
-        return upload.isDiscarding() ? Integer.MAX_VALUE : Math.max(MIN_READ_BYTES, upload.freeBytes());
+        return upload.isDiscarding() ? MAX_READ_BYTES : Math.max(MIN_READ_BYTES, upload.freeBytes());
     }
 
     /** Leaves the rest of the value in the socket until there is memory for it, or the wait is too long. */
@@ -298,23 +307,27 @@
         upload.giveUp();
         owner.onUploadGivenUp(upload.command());
         if (!isClosed()) {
-            connection.setMaxReadBytes(Integer.MAX_VALUE);
+            connection.setMaxReadBytes(MAX_READ_BYTES);
             continueUpload();
         }
     }
 
     private void completeUpload(ByteBuffer rest, long arrivedAtNanos) {
-        connection.setMaxReadBytes(Integer.MAX_VALUE);
+        connection.setMaxReadBytes(ReadAheadBuffer.CHUNK_BYTES);
         if (rest.hasRemaining()) {
             buffer.append(rest, arrivedAtNanos);
         }
+        MetaCommand command = upload.command();
         if (upload.isDiscarding()) {
             upload.abort();
-            owner.onUploadDiscarded();
+            if (command.kind == MetaCommand.Kind.INVALID) {
+                owner.onCommand(command, null, arrivedAtNanos);
+            } else {
+                owner.onUploadDiscarded();
+            }
             processCommands();
             return;
         }
-        MetaCommand command = upload.command();
         GrowthBudget.Reservation memory = upload.finish();
         // the client may have disconnected while the upload waited for memory
         if (disconnects.checkConnected()) {
@@ -330,6 +343,6 @@
             uploadTimeout.cancel();
         }
         upload.abort();
-        connection.setMaxReadBytes(Integer.MAX_VALUE);
+        connection.setMaxReadBytes(ReadAheadBuffer.CHUNK_BYTES);
     }
 }
--- a/proxy/src/main/java/spurroad/routing/ReadAheadBuffer.java
+++ b/proxy/src/main/java/spurroad/routing/ReadAheadBuffer.java
@@ -12,8 +12,10 @@
  * event loop only.
  */
 final class ReadAheadBuffer {
-    /** Bytes that need no reservation; equals the most that one read from a connection returns. */
-    static final int CHUNK_BYTES = 64 * 1024;
+    /** Bytes that need no reservation; several times the longest command without a long value. */
+    static final int CHUNK_BYTES = 8 * 1024;
+    /** Maximum length in bytes of a value that is read with its command. */
+    static final int MAX_VALUE_BYTES = 1024;
     /** Maximum bytes buffered if the budget allows; the client's disconnect may follow after them. */
     private static final int MAX_BYTES = 1024 * 1024;
 
@@ -43,13 +45,13 @@
     }
 
     /**
-     * Parses the next command; returns null if it is incomplete.
+     * Parses the next command, without its value if that is a long one; returns null if it is incomplete.
      *
      * @throws IOException if the input can never become a command
      */
     MetaCommand nextCommand() throws IOException {
         int before = unparsed.available();
-        MetaCommand command = unparsed.readMessage(MetaCommand::read);
+        MetaCommand command = unparsed.readMessage(in -> MetaCommand.read(in, MAX_VALUE_BYTES));
         if (command != null) {
             commandArrivedAtNanos = arrivals.take(before - unparsed.available());
         }
--- a/proxy/src/main/java/spurroad/routing/RequestIntake.java
+++ b/proxy/src/main/java/spurroad/routing/RequestIntake.java
@@ -40,11 +40,15 @@
         if (!clients.admission.admits(requestClass, tenant)) {
             return reject(RejectionReason.SERVICE_LEVEL, clients.admission.rejection());
         }
-        long bytes = ClientConnections.REQUEST_MEMORY_BYTES + command.value.length;
+        boolean isValueShort = command.valueLength() <= MetaCommand.MAX_BUFFERED_VALUE_BYTES;
+        long bytes = ClientConnections.REQUEST_MEMORY_BYTES + (isValueShort ? command.valueLength() : 0);
         if (!clients.requestMemory.tryReserve(bytes)) {
             return rejectForMemory(client);
         }
         slot.setRequestBytes(bytes);
+        if (isValueShort) {
+            slot.releaseUploadMemory(); // the value is part of the request's memory from now on
+        }
         slot.request = new ProxiedRequest(client, command, new RequestClassId(requestClass), slot.statistics,
             new TenantId(tenant), clients.loop.earliestArrivalNanos(),
             clients.deadlineNanos(arrivedAtNanos, command.timeoutMillis()));
--- a/proxy/src/main/java/spurroad/routing/ResponseSlot.java
+++ b/proxy/src/main/java/spurroad/routing/ResponseSlot.java
@@ -52,13 +52,18 @@
         }
     }
 
+    /** Releases the memory of the command's long value, if it has one; does nothing the second time. */
+    void releaseUploadMemory() {
+        if (uploadMemory != null) {
+            uploadMemory.release();
+        }
+    }
+
     /** Releases the reserved memory. */
     void release(ClientConnections clients) {
         clients.requestMemory.release(requestBytes);
         clients.requestMemory.release(responseBytes);
         requestBytes = responseBytes = 0;
-        if (uploadMemory != null) {
-            uploadMemory.release();
-        }
+        releaseUploadMemory();
     }
 }
--- a/proxy/src/main/java/spurroad/routing/UploadReceiver.java
+++ b/proxy/src/main/java/spurroad/routing/UploadReceiver.java
@@ -26,7 +26,7 @@
     }
 
     /**
-     * Starts receiving.
+     * Starts receiving; the value of an invalid command is discarded.
      *
      * @param maxWaitNanos how long the value may wait for memory in all
      */
@@ -34,6 +34,9 @@
         buffer = new UploadBuffer(command, budget);
         remainingWaitNanos = maxWaitNanos;
         state = State.RECEIVING;
+        if (command.kind == MetaCommand.Kind.INVALID) {
+            buffer.discardRest();
+        }
     }
 
     /** Returns whether a value is being received or waits for memory. */
@@ -49,7 +52,7 @@
         return state == State.RECEIVING;
     }
 
-    /** Returns whether the value was given up. */
+    /** Returns whether the rest of the value is discarded. */
     boolean isDiscarding() {
         return buffer.isDiscarding();
     }
--- a/proxy/src/test/java/spurroad/program/UploadMemoryTest.java
+++ b/proxy/src/test/java/spurroad/program/UploadMemoryTest.java
@@ -7,9 +7,12 @@
 import java.net.InetAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.atomic.AtomicBoolean;
 import org.testng.annotations.AfterMethod;
 import org.testng.annotations.BeforeMethod;
+import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 import spurroad.configuration.ProxyConfiguration;
 import spurroad.fixture.ScriptedPeers;
@@ -33,6 +36,10 @@
 
     @BeforeMethod
     public void start() throws Exception {
+        start(64); // leaves memory for one upload of 4 MiB
+    }
+
+    private void start(int memoryMb) throws Exception {
         ended.set(false);
         origin = new Peer(message -> RunningProxy.ok("r1"));
         Peer node = new Peer(message -> "STAT inflight 0\r\nEND\r\n");
@@ -40,9 +47,8 @@
         String list = ScriptedPeers.list(1, true,
             ScriptedPeers.target("s-1", "m1", node.port, "active", 0),
             ScriptedPeers.target("s-o", "origin", origin.port, "active", 0));
-        // 64 MB leave memory for one upload of 4 MiB
-        proxy = RunningProxy.service(new ProxyConfiguration(ScriptedPeers.start(discovery.port, 256, list)
-            .replace("\"memory_mb\":192", "\"memory_mb\":64")));
+        proxy = RunningProxy.service(new ProxyConfiguration(ScriptedPeers.start(discovery.port, 1024, list)
+            .replace("\"memory_mb\":192", "\"memory_mb\":" + memoryMb)));
     }
 
     @AfterMethod
@@ -140,4 +146,90 @@
             assertTrue(slow.isConnected());
         }
     }
+
+    /**
+     * What many slow writers of values of 64 KiB have sent fits into the memory for uploads, or they are
+     * answered. Guards against input that nothing reserves: 560 such writers exhausted the heap.
+     */
+    @Test
+    public void reservesWhatSlowWritersOfShorterValuesSend() throws Exception {
+        int memoryMb = 192;
+        long uploadBytes = memoryMb * 1024L * 1024 / 8 / 2; // half of an eighth
+        int sentBytes = 60_000;
+        int writers = 400;
+        start(memoryMb);
+        List<Socket> sockets = new ArrayList<>();
+        for (int i = 0; i < writers; i++) {
+            Socket socket = new Socket(InetAddress.getLoopbackAddress(), proxy.port());
+            sockets.add(socket);
+            String start = head("w" + i, 65_536, TIMEOUT_MILLIS) + "x".repeat(sentBytes);
+            socket.getOutputStream().write(start.getBytes(StandardCharsets.ISO_8859_1));
+        }
+        Thread.sleep(TIMEOUT_MILLIS);
+        int unanswered = 0;
+        for (Socket socket : sockets) {
+            unanswered += socket.getInputStream().available() == 0 ? 1 : 0;
+        }
+        assertTrue(unanswered * (long) sentBytes <= uploadBytes, unanswered + " writers are held");
+        assertTrue(unanswered * (long) sentBytes >= uploadBytes / 2, "only " + unanswered + " are held");
+        for (Socket socket : sockets) {
+            socket.close();
+        }
+        try (Client client = new Client(proxy.port())) {
+            client.say(write("a", LONG_BYTES, LONG_TIMEOUT_MILLIS));
+            assertEquals(client.line(), "HD Oa cr1", "all memory is free again");
+        }
+    }
+
+    @DataProvider
+    Object[][] lengths() {
+        return new Object[][] {{1024}, {1025}, {2000}, {8192}, {30_000}, {65_536}, {65_537}};
+    }
+
+    @Test(dataProvider = "lengths")
+    public void servesPipelinedWritesOfAllLengths(int length) throws Exception {
+        int writes = length > 10_000 ? 4 : 100;
+        try (Client client = new Client(proxy.port())) {
+            StringBuilder commands = new StringBuilder();
+            for (int i = 0; i < writes; i++) {
+                commands.append(write("p" + i, length, LONG_TIMEOUT_MILLIS));
+            }
+            client.sayInBackground(commands.toString());
+            for (int i = 0; i < writes; i++) {
+                String answer = client.line();
+                assertTrue(answer.equals("HD Op" + i + " cr1") || answer.startsWith("SERVER_ERROR busy"),
+                    answer);
+            }
+            String written = origin.await("PUT /kp0 HTTP/1.1");
+            assertTrue(written.endsWith("\n" + "x".repeat(length)), "the value at the origin differs");
+        }
+    }
+
+    @DataProvider
+    Object[][] invalidWrites() {
+        return new Object[][] {{"ms k 30000 Pc=put,d=9000,k=5\r\n", "CLIENT_ERROR no request id"},
+            {"ms k 30000 O1 Pc=put,k=5\r\n", "CLIENT_ERROR no time to wait"},
+            {"ms k 30000 O1 Pc=none,t=acme,d=9000,k=5\r\n", "CLIENT_ERROR unknown class"}};
+    }
+
+    /** The value of an invalid command is skipped, whether it is read with its command or after it. */
+    @Test(dataProvider = "invalidWrites")
+    public void readsNextCommandBehindInvalidWrite(String line, String answer) throws Exception {
+        for (int length : new int[] {100, 30_000, 65_536}) {
+            try (Client client = new Client(proxy.port())) {
+                client.say(line.replace("30000", String.valueOf(length)) + "x".repeat(length) + "\r\nmn\r\n");
+                assertEquals(client.line(), answer, length + " bytes");
+                assertEquals(client.line(), "MN", length + " bytes");
+            }
+        }
+    }
+
+    @Test
+    public void endsConnectionAfterValueThatIsLongerThanAnnounced() throws Exception {
+        try (Client client = new Client(proxy.port())) {
+            client.say(head("a", 30_000, TIMEOUT_MILLIS) + "x".repeat(30_001) + "\r\n");
+            assertEquals(client.line(), "CLIENT_ERROR bad data chunk");
+            assertEquals(client.line(), null);
+        }
+    }
 }
