--- a/proxy/src/main/java/spurroad/routing/ClientConnection.java
+++ b/proxy/src/main/java/spurroad/routing/ClientConnection.java
@@ -19,8 +19,6 @@
         ResponseWriter.Owner,
         CommandReader.Owner {
     private static final int MAX_PIPELINED_COMMANDS = 16; // read and not answered yet
-    /** Divisor of a client's timeout: the quotient is how long its upload may wait for memory. */
-    private static final int UPLOAD_WAIT_DIVISOR = 2;
     /** Input that is discarded at most while the last responses are being delivered. */
     private static final int MAX_DISCARDED_BYTES = 256 * 1024;
 
@@ -161,16 +159,6 @@
         }
     }
 
-    /**
-     * Returns half of the client's timeout, from the start of the upload: the last byte may already be
-     * waiting in the socket, and the request has to be answered in time, or served in what is left.
-     */
-    @Override
-    public long maxUploadWaitNanos(MetaCommand command) {
-        long now = clients.now();
-        return (clients.deadlineNanos(now, command.timeoutMillis()) - now) / UPLOAD_WAIT_DIVISOR;
-    }
-
     @Override
     public void onUploadFailed(String fault) {
         sendLastResponse(fault);
--- a/proxy/src/main/java/spurroad/routing/CommandReader.java
+++ b/proxy/src/main/java/spurroad/routing/CommandReader.java
@@ -46,9 +46,6 @@
         /** Called when the rest of an upload that was given up has arrived and was discarded. */
         void onUploadDiscarded();
 
-        /** Returns how long an upload may wait for memory, in nanoseconds. */
-        long maxUploadWaitNanos(MetaCommand command);
-
         /** Called when an upload is malformed, so that the input after it can't be parsed. */
         void onUploadFailed(String fault);
     }
@@ -58,12 +55,15 @@
      * clients.
      */
     private static final int MAX_COMMANDS_PER_TURN = 16;
+    /** Divisor of a client's timeout: the quotient is how long its upload may wait for memory. */
+    private static final int UPLOAD_WAIT_DIVISOR = 2;
     /** Bytes that a read may always bring: what has no memory then is kept in the read-ahead buffer. */
     private static final int MIN_READ_BYTES = 4 * 1024;
     /** Bytes that a read may bring if they are discarded. */
     private static final int MAX_READ_BYTES = 64 * 1024;
 
     private final Owner owner;
+    private final ClientConnections clients;
     private final Connection connection;
     private final EventLoop loop;
     private final ClientActivity activity;
@@ -76,6 +76,7 @@
 
     CommandReader(Owner owner, ClientConnections clients, Connection connection, ClientActivity activity) {
         this.owner = owner;
+        this.clients = clients;
         this.connection = connection;
         this.activity = activity;
         loop = clients.loop;
@@ -251,10 +252,19 @@
     // ---- uploads
 
     private void beginUpload(MetaCommand command) {
-        upload.begin(command, owner.maxUploadWaitNanos(command));
+        upload.begin(command, maxUploadWaitNanos(command));
         continueUpload();
     }
 
+    /**
+     * Returns half of the client's timeout. While an upload waits, its last byte may already be in the
+     * socket, and the request has to be answered in time, or served in what is left.
+     */
+    private long maxUploadWaitNanos(MetaCommand command) {
+        long now = loop.now();
+        return (clients.deadlineNanos(now, command.timeoutMillis()) - now) / UPLOAD_WAIT_DIVISOR;
+    }
+
     /** Takes what is buffered of the value, and reads more. */
     private void continueUpload() {
         activity.onRead(loop.now()); // the client could not send until now
--- a/proxy/src/main/java/spurroad/transport/Connection.java
+++ b/proxy/src/main/java/spurroad/transport/Connection.java
@@ -2,7 +2,6 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.net.StandardSocketOptions;
 import java.nio.ByteBuffer;
 import java.nio.channels.ReadableByteChannel;
 import java.nio.channels.SelectableChannel;
@@ -50,7 +49,6 @@
     private Handler handler;
     private State state = State.OPEN;
     private int maxReadBytes = Integer.MAX_VALUE; // of reads by the event loop
-    private boolean lastReadMayHaveLeftBytes;
     private boolean closesUnlessInputArrives; // until it is closed or input arrives
 
     /**
@@ -111,10 +109,7 @@
     private void register(Handler newHandler, int operations) {
         handler = newHandler;
         try {
-            if (source instanceof SocketChannel socket) {
-                // the kernel must not hold a response back until more is written (Nagle's algorithm)
-                socket.setOption(StandardSocketOptions.TCP_NODELAY, true);
-            }
+            TcpOptions.sendImmediately(source);
             registration.register(operations);
         } catch (IOException e) {
             fail();
@@ -157,8 +152,7 @@
             int limit = Math.min(maxBytes, buffer.capacity());
             buffer.clear().limit(limit);
             int count = InterruptedReads.readRetrying(source, buffer);
-            lastReadMayHaveLeftBytes = count == limit;
-            arrivalTracker.onRead(lastReadMayHaveLeftBytes, isReading());
+            arrivalTracker.onRead(count == limit, isReading());
             if (count > 0) {
                 closesUnlessInputArrives = false;
                 handler.onRead(buffer.flip());
@@ -179,7 +173,7 @@
 
     /** Returns whether the last read returned as many bytes as it could, so that more may be unread. */
     public boolean lastReadMayHaveLeftBytes() {
-        return lastReadMayHaveLeftBytes;
+        return arrivalTracker.lastReadMayHaveLeftBytes();
     }
 
     /**
@@ -292,9 +286,7 @@
     /** Limits, approximately, how many sent bytes the kernel buffers for a slow peer (SO_SNDBUF). */
     public void limitSendBuffer(int bytes) {
         try {
-            if (!isClosed() && sink instanceof SocketChannel socket) {
-                socket.setOption(StandardSocketOptions.SO_SNDBUF, bytes);
-            }
+            TcpOptions.limitSendBuffer(sink, bytes);
         } catch (IOException e) {
             fail();
         }
@@ -327,9 +319,7 @@
     /** Closes with a TCP reset, which tells the peer that data it has sent may not have been read. */
     public void reset() {
         try {
-            if (!isClosed() && source instanceof SocketChannel socket) {
-                socket.setOption(StandardSocketOptions.SO_LINGER, 0);
-            }
+            TcpOptions.resetOnClose(source);
         } catch (IOException e) {
             // the socket is already closed
         }
--- a/proxy/src/main/java/spurroad/transport/ReadArrivalTracker.java
+++ b/proxy/src/main/java/spurroad/transport/ReadArrivalTracker.java
@@ -15,6 +15,7 @@
     /** Since when bytes may be unread, if reading is paused or the last read may have left some. */
     private long unreadSinceNanos = NO_UNREAD_BYTES;
     private long earliestArrivalNanos;
+    private boolean lastReadMayHaveLeftBytes;
 
     ReadArrivalTracker(EventLoop loop) {
         this.loop = loop;
@@ -32,6 +33,7 @@
      * @param isReading whether reading is still enabled
      */
     void onRead(boolean mayHaveLeftBytes, boolean isReading) {
+        lastReadMayHaveLeftBytes = mayHaveLeftBytes;
         earliestArrivalNanos = mayHaveUnreadBytes() ? unreadSinceNanos : loop.earliestArrivalNanos();
         if (mayHaveLeftBytes) {
             unreadSinceNanos = earliestArrivalNanos;
@@ -53,6 +55,11 @@
         return unreadSinceNanos != NO_UNREAD_BYTES;
     }
 
+    /** Returns whether there may be bytes left that the last read did not return. */
+    boolean lastReadMayHaveLeftBytes() {
+        return lastReadMayHaveLeftBytes;
+    }
+
     /** Returns the earliest time at which the bytes of the last read can have arrived. */
     long earliestArrivalNanos() {
         return earliestArrivalNanos;
