Read an endpoint's connection again after a value that waited for memory became complete

What callers would see: a request sent on such a connection times out, as its reply is never read.

Cause: since a connection is not read while a value of unknown length waits for memory. Where all of the rest had been read before the wait, the value became complete without another read, and the connection went back to the pool unread.

Evidence: EndpointConnectionPoolTest.connectionIsReusableAfterReplyWaitedForMemory, SUCCEEDED expected, TIMED_OUT before (18 s); passes now, with its class and UnsizedValueTest.

Why this works: completing a value resumes reading first, as the end of a streamed value does.

--- a/proxy/src/main/java/spurroad/routing/EndpointConnection.java
+++ b/proxy/src/main/java/spurroad/routing/EndpointConnection.java
@@ -262,6 +262,7 @@
     }
 
     private void completeValue() {
+        connection.setReading(true); // what completes the value may have been read before a wait for memory
         BufferedResponse response = receivedValue.response();
         UpstreamReply reply = receivedValue.reply(response, attempt.command().id(), input.available() == 0);
         receivedValue = null;
--- a/proxy/src/test/java/spurroad/routing/EndpointConnectionPoolTest.java
+++ b/proxy/src/test/java/spurroad/routing/EndpointConnectionPoolTest.java
@@ -144,6 +144,32 @@
         }
     }
 
+    /**
+     * Guards against a connection that is not read any more: its last reply became complete by what had been
+     * read before it waited for memory.
+     */
+    @Test
+    public void connectionIsReusableAfterReplyWaitedForMemory() throws Exception {
+        String value = "x".repeat(65_600);
+        try (ScriptedPeers.Peer peer = new ScriptedPeers.Peer(message -> "HTTP/1.1 200 OK\r\n"
+            + "Transfer-Encoding: chunked\r\n\r\n10040\r\n" + value + "\r\n0\r\n\r\n")) {
+            EndpointConnectionPool pool = pool(peer.port, true, new DescriptorBudget(100));
+            GrowthBudget.Reservation other = replyMemory.open(MetaCommand.MAX_VALUE_BYTES);
+            loop.execute(() -> {
+                other.tryGrow(MetaCommand.MAX_VALUE_BYTES - 66_000);
+                other.complete();
+            });
+            begin(pool, LONG_TIMEOUT_NANOS);
+            Thread.sleep(SHORT_TIMEOUT_NANOS / 1_000_000);
+            assertTrue(ended.isEmpty(), "the reply needs memory");
+            loop.execute(other::release);
+            assertEquals(outcome(), Outcome.SUCCEEDED);
+            begin(pool, LONG_TIMEOUT_NANOS);
+            assertEquals(outcome(), Outcome.SUCCEEDED);
+            assertEquals(peer.connections.get(), 1);
+        }
+    }
+
     @DataProvider
     Object[][] streamEnds() {
         String head = "HTTP/1.1 200 OK\r\n";
