--- a/review/rig2/readers.pl
+++ b/review/rig2/readers.pl
@@ -2,7 +2,7 @@
 # Clients that read values: readers.pl PORT CLIENTS COMMANDS SLOWLY SECONDS
 # SLOWLY 1: each client sends all its commands at once and takes 16 KiB of the answers every 0.1 s.
 # SLOWLY 0: each client sends a command when it has the answer to the one before, and takes answers at once.
-# Their segments hold 1460 bytes, as on an Ethernet.
+# Their segments hold 1460 bytes, as on an Ethernet; the slow ones have receive buffers of 16 KiB.
 use strict;
 use warnings;
 use Socket;
@@ -13,12 +13,14 @@
 use constant TCP => 6;
 use constant TCP_MAXSEG => 2;
 use constant SEGMENT => 1460;
+use constant SMALL_BUFFER => 16384;
 
 my ($port, $clients, $commands, $slowly, $seconds) = @ARGV;
 my @clients;
 for my $number (0 .. $clients - 1) {
     socket(my $socket, PF_INET, SOCK_STREAM, 0) or die "socket: $!";
     setsockopt($socket, TCP, TCP_MAXSEG, pack('i', SEGMENT)) or die "segment size: $!";
+    setsockopt($socket, SOL_SOCKET, SO_RCVBUF, pack('i', SMALL_BUFFER)) if $slowly;
     connect($socket, pack_sockaddr_in($port, inet_aton('127.0.0.1'))) or die "connect: $!";
     $socket->blocking(0);
     push @clients, {socket => $socket, number => $number, sent => 0, skip => 0, text => '', answers => 0};
