--- a/review/rig2/Rig.java
+++ b/review/rig2/Rig.java
@@ -47,7 +47,9 @@
 
     Rig(String folderName) throws IOException {
         folder = Path.of(folderName);
-        temporary = Files.createTempDirectory("spurroad-review");
+        String parent = System.getenv().getOrDefault("TMPDIR", "");
+        temporary = Files.createTempDirectory(
+            Path.of(parent.isEmpty() ? System.getProperty("java.io.tmpdir") : parent), "spurroad-review");
         Runtime.getRuntime().addShutdownHook(new Thread(this::cleanUp));
         note("trouble=" + (trouble ? 1 : 0));
     }
