--- a/proxy/src/test/java/spurroad/overload/Operation.java
+++ b/proxy/src/test/java/spurroad/overload/Operation.java
@@ -28,7 +28,8 @@
     private static final int MAX_CONNECTIONS = 128;
     private static final int SILENT_CALLERS = 100;
     private static final String FLAGS = "-XX:-UsePerfData -Xms48m -Xmx48m -Xmn28m -XX:+UseSerialGC "
-        + "-XX:TieredStopAtLevel=1 -Xbatch -Xss256k -XX:StackShadowPages=10 -XX:MaxDirectMemorySize=16m "
+        + "-XX:TieredStopAtLevel=1 -Xbatch -Xss256k " + StackFlags.ofThisMachine()
+        + " -XX:MaxDirectMemorySize=16m "
         + "-Djdk.nio.maxCachedBufferSize=16384 -Djava.net.preferIPv4Stack=true";
 
     private final Clock clock = new Clock();
--- a/proxy/src/test/java/spurroad/overload/Overload.java
+++ b/proxy/src/test/java/spurroad/overload/Overload.java
@@ -35,7 +35,7 @@
     private static final int MAX_CONNECTIONS = 341; // a third of the proxy's 1,024 descriptors
     private static final long SETTLE_MILLIS = 2_000; // at the beginning of each load, not counted
     private static final String FLAGS = "-XX:-UsePerfData -Xms64m -Xmx64m -Xmn40m -XX:+UseSerialGC "
-        + "-XX:TieredStopAtLevel=1 -Xbatch -Xss256k -XX:StackShadowPages=10";
+        + "-XX:TieredStopAtLevel=1 -Xbatch -Xss256k " + StackFlags.ofThisMachine();
 
     private Overload() {}
 
--- a/testbed/src/main/java/spurroad/testbed/experiment/ScenarioRunner.java
+++ b/testbed/src/main/java/spurroad/testbed/experiment/ScenarioRunner.java
@@ -54,8 +54,7 @@
         /**
          * The flags of a proxy on a small machine, without the class archive, which not every jar has.
          */
-        public static final List<String> FLAGS = List.of("-XX:-UsePerfData", "-Xms64m", "-Xmx64m", "-Xmn40m",
-            "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xbatch", "-Xss256k", "-XX:StackShadowPages=10");
+        public static final List<String> FLAGS = flagsOn(System.getProperty("os.arch"));
         private static final int HASH_DIGITS = 12;
 
         private final Path jar;
@@ -79,6 +78,19 @@
             build = "sockets " + hash(Files.readAllBytes(jar));
         }
 
+        /**
+         * Returns the flags on a processor, by its name in the system property {@code os.arch}. Only on
+         * x86-64 does the virtual machine start with so few shadow pages.
+         */
+        private static List<String> flagsOn(String processor) {
+            List<String> flags = new ArrayList<>(List.of("-XX:-UsePerfData", "-Xms64m", "-Xmx64m", "-Xmn40m",
+                "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xbatch", "-Xss256k"));
+            if (processor.equals("amd64")) {
+                flags.add("-XX:StackShadowPages=10");
+            }
+            return List.copyOf(flags);
+        }
+
         private static String hash(byte[] bytes) {
             try {
                 return HexFormat.of().formatHex(MessageDigest.getInstance("SHA-256").digest(bytes))
