Reserve memory for a reply's value before it is read

Cause: 8 KiB were reserved for a request and its answer was booked after it had come, without a refusal; replies under way were in no budget.

Change: SizedValue receives a value of 2 to 64 KiB straight into its answer, in memory that GrowthBudget grants before it is read; until then a read from an endpoint takes 4 KiB. The memory goes with the answer until the system has taken it. Half of the budget is kept for answers that are next on their connection. A long value reserves its window when its turn has come, and takes 8 KiB where there is no more. ReceivedValue is UnsizedValue now, both are IncomingValues. A long body of an error is not read.

Why it works: what waits is in the socket, not in the heap, whoever reads slowly.

--- a/proxy/src/main/java/spurroad/protocol/ByteSource.java
+++ b/proxy/src/main/java/spurroad/protocol/ByteSource.java
@@ -141,7 +141,7 @@
      * Moves up to {@code maxBytes} buffered bytes into a target, as far as it has space; returns their
      * number. Must be called between two messages only.
      */
-    int moveBuffered(ByteBuffer target, long maxBytes) {
+    public int moveBuffered(ByteBuffer target, long maxBytes) {
         int count = (int) Math.min(maxBytes, Math.min(limit - position, target.remaining()));
         target.put(buffer, position, count);
         position += count;
--- a/proxy/src/main/java/spurroad/protocol/Http.java
+++ b/proxy/src/main/java/spurroad/protocol/Http.java
@@ -179,24 +179,50 @@
     // ---- responses of the origin
 
     /**
-     * Reads the origin's response to a command.
+     * Reads the origin's response to a command, with its value unless that is longer than
+     * {@link MetaCommand#MAX_BUFFERED_VALUE_BYTES}.
      *
      * @throws ProtocolException if the response is malformed
      */
     public static UpstreamReply read(ByteSource in, MetaCommand command) throws IOException {
+        return read(in, command, MetaCommand.MAX_BUFFERED_VALUE_BYTES);
+    }
+
+    /**
+     * Reads the origin's response to a command.
+     *
+     * @param maxValueBytes a longer value is left in the source, but for its start if its length is unknown
+     * @throws ProtocolException if the response is malformed
+     */
+    public static UpstreamReply read(ByteSource in, MetaCommand command, int maxValueBytes)
+        throws IOException {
         Head head = readFinalHead(in);
-        if (hasStreamedBody(head, command)) {
+        if (hasStreamedBody(head, command, maxValueBytes)) {
             return streamedReply(head, command);
         }
         if (mayHaveLongValue(head, command)) {
-            HttpBody.Start start = HttpBody.readStart(in, head);
+            HttpBody.Start start = HttpBody.readStart(in, head, maxValueBytes);
             return start.rest() == null ? reply(head, command, start.bytes())
                 : UpstreamReply.unsized(head.loadReport(), head.isKeepAlive(),
                     new UpstreamReply.UnsizedBody(start.bytes(), start.rest()));
         }
+        if (hasLongErrorBody(head)) {
+            return errorWithoutBody(head);
+        }
         return reply(head, command, HttpBody.readWhole(in, head));
     }
 
+    /** Returns whether a body that nobody uses is too long to be read with its reply. */
+    private static boolean hasLongErrorBody(Head head) {
+        return head.status != OK && !head.isChunked()
+            && head.contentLength("0") > MetaCommand.MAX_BUFFERED_VALUE_BYTES;
+    }
+
+    /** Returns the reply of an error whose body is left unread, so that its connection can't be reused. */
+    private static UpstreamReply errorWithoutBody(Head head) {
+        return new UpstreamReply(outcome(head), CacheStatus.NONE, head.loadReport(), null, false);
+    }
+
     /** Returns whether the body is a value, which may be longer than other bodies. */
     private static boolean mayHaveLongValue(Head head, MetaCommand command) {
         return head.status == OK && command != null && command.kind == MetaCommand.Kind.READ;
@@ -220,9 +246,9 @@
         return read(in, null);
     }
 
-    private static boolean hasStreamedBody(Head head, MetaCommand command) {
+    private static boolean hasStreamedBody(Head head, MetaCommand command, int maxValueBytes) {
         long length = head.isChunked() ? -1 : head.contentLength("");
-        return mayHaveLongValue(head, command) && length > MetaCommand.MAX_BUFFERED_VALUE_BYTES
+        return mayHaveLongValue(head, command) && length > maxValueBytes
             && length <= MetaCommand.MAX_VALUE_BYTES;
     }
 
--- a/proxy/src/main/java/spurroad/protocol/HttpBody.java
+++ b/proxy/src/main/java/spurroad/protocol/HttpBody.java
@@ -27,7 +27,7 @@
      * @throws ProtocolException if the body is too long or its chunks are malformed
      */
     static byte[] readWhole(ByteSource in, Http.Head head) throws IOException {
-        Start start = readStart(in, head);
+        Start start = readStart(in, head, MAX_BUFFERED_BYTES);
         if (start.rest != null) {
             throw invalidLength();
         }
@@ -38,17 +38,19 @@
      * Reads a whole body, or the start of a long one of unknown length. Nothing of a chunk is read if the
      * body is a long one with it.
      *
+     * @param maxBytes the longest body of unknown length that is read whole
      * @throws ProtocolException if the declared length is over the maximum, or a chunk is malformed
      */
-    static Start readStart(ByteSource in, Http.Head head) throws IOException {
+    static Start readStart(ByteSource in, Http.Head head, int maxBytes) throws IOException {
         if (!head.definesBodyLength()) {
-            return readUpToEnd(in);
+            return readUpToEnd(in, maxBytes);
         }
-        return head.isChunked() ? readChunks(in) : new Start(readExactly(in, head.contentLength("0")), null);
+        return head.isChunked() ? readChunks(in, maxBytes)
+            : new Start(readExactly(in, head.contentLength("0")), null);
     }
 
-    private static Start readUpToEnd(ByteSource in) throws IOException {
-        byte[] body = new byte[MAX_BUFFERED_BYTES + 1];
+    private static Start readUpToEnd(ByteSource in, int maxBytes) throws IOException {
+        byte[] body = new byte[maxBytes + 1];
         int length = 0;
         for (int read = 0; read >= 0 && length < body.length;) {
             length += read;
@@ -58,12 +60,12 @@
         return new Start(Arrays.copyOf(body, length), rest);
     }
 
-    private static Start readChunks(ByteSource in) throws IOException {
+    private static Start readChunks(ByteSource in, int maxBytes) throws IOException {
         ByteArrayOutputStream body = new ByteArrayOutputStream();
         String line = readChunkLine(in);
         long lineBytes = line.length();
         for (long size = parseChunkSize(line); size > 0; size = parseChunkSize(line)) {
-            if (body.size() + size > MAX_BUFFERED_BYTES || lineBytes > MAX_CHUNK_LINE_BYTES) {
+            if (body.size() + size > maxBytes || lineBytes > MAX_CHUNK_LINE_BYTES) {
                 return new Start(body.toByteArray(), HttpBodyDecoder.insideChunk(body.size(), size));
             }
             body.writeBytes(readExactly(in, size));
--- a/proxy/src/main/java/spurroad/protocol/MetaResponse.java
+++ b/proxy/src/main/java/spurroad/protocol/MetaResponse.java
@@ -25,17 +25,28 @@
     // ---- responses of cache nodes
 
     /**
-     * Reads a cache node's response to the request with an id.
+     * Reads a cache node's response to the request with an id, with its value unless that is longer than
+     * {@link MetaCommand#MAX_BUFFERED_VALUE_BYTES}.
      *
      * @throws ProtocolException if the response is malformed, or carries the id of another request
      */
     public static UpstreamReply read(ByteSource in, String id) throws IOException {
+        return read(in, id, MetaCommand.MAX_BUFFERED_VALUE_BYTES);
+    }
+
+    /**
+     * Reads a cache node's response to the request with an id.
+     *
+     * @param maxValueBytes a longer value is left in the source
+     * @throws ProtocolException if the response is malformed, or carries the id of another request
+     */
+    public static UpstreamReply read(ByteSource in, String id, int maxValueBytes) throws IOException {
         String line = in.readRequiredLine(MetaCommand.MAX_LINE_BYTES);
         String[] tokens = tokens(line);
         LoadReport load = loadReport(tokens);
         CacheStatus status = cacheStatus(tokens);
         return switch (tokens[0]) {
-            case "VA" -> readValue(in, line, tokens, id, status, load);
+            case "VA" -> readValue(in, line, tokens, id, maxValueBytes, status, load);
             case "HD" -> {
                 requireId(tokens, id);
                 byte[] receipt = receipt(id, flag(tokens, RECEIPT_FLAG));
@@ -55,13 +66,13 @@
     }
 
     private static UpstreamReply readValue(ByteSource in, String line, String[] tokens, String id,
-                                           CacheStatus status, LoadReport load)
+                                           int maxValueBytes, CacheStatus status, LoadReport load)
         throws IOException {
         long length = tokens.length < 2 ? -1 : NumberParser.parseWhole(tokens[1]);
         if (length < 0 || length > MetaCommand.MAX_VALUE_BYTES) {
             throw new ProtocolException("a value of impossible length, " + line);
         }
-        if (length > MetaCommand.MAX_BUFFERED_VALUE_BYTES) {
+        if (length > maxValueBytes) {
             requireId(tokens, id);
             return new UpstreamReply(Outcome.SUCCEEDED, status, load, valueHead(length, id), true,
                 new UpstreamReply.StreamedBody(length, true));
--- a/proxy/src/main/java/spurroad/routing/BufferedResponse.java
+++ b/proxy/src/main/java/spurroad/routing/BufferedResponse.java
@@ -43,9 +43,13 @@
 
     private void writePieces() {
         while (!pieces.isEmpty() && writer.isReadyForMore()) {
-            ByteBuffer piece = pieces.poll();
-            writer.writePart(piece);
-            memory.releasePart(piece.capacity());
+            ByteBuffer piece = pieces.peek();
+            int count = Math.min(piece.remaining(), writer.windowBytes());
+            writer.writePart(piece.slice(piece.position(), count));
+            piece.position(piece.position() + count);
+            if (!piece.hasRemaining()) {
+                memory.releasePart(pieces.remove().capacity());
+            }
         }
         if (pieces.isEmpty()) {
             end();
--- a/proxy/src/main/java/spurroad/routing/ClientConnection.java
+++ b/proxy/src/main/java/spurroad/routing/ClientConnection.java
@@ -218,14 +218,22 @@
      */
     void answer(ProxiedRequest request, byte[] response, OutcomeStatistics.End end,
                 LongResponse streamed) {
-        if (isClosed() && streamed != null) {
-            streamed.abandon();
-        }
-        responses.respond(request, response, end, streamed);
+        answer(request, response, end, streamed, null);
+    }
+
+    /** Does the same with the memory that is reserved for the response, or null. */
+    void answer(ProxiedRequest request, byte[] response, OutcomeStatistics.End end,
+                LongResponse streamed, GrowthBudget.Reservation memory) {
+        responses.respond(request, response, end, streamed, memory);
         responses.flush();
         commands.processCommands();
     }
 
+    /** Returns whether all responses before the one to a request are written. */
+    boolean isNextResponse(ProxiedRequest request) {
+        return responses.isNext(request);
+    }
+
     @Override
     public void onDrained() {
         if (responses.onDrained()) {
--- a/proxy/src/main/java/spurroad/routing/DecisionExecutor.java
+++ b/proxy/src/main/java/spurroad/routing/DecisionExecutor.java
@@ -173,7 +173,8 @@
             byte[] bytes = rejected ? MetaResponse.rejected(response.retryAfterNanos() / NANOS_PER_MILLI)
                 : MetaResponse.failed();
             outbox.add(new ResponseMessage(request, bytes,
-                rejected ? OutcomeStatistics.End.DECLINED : OutcomeStatistics.End.ABORTED, null));
+                rejected ? OutcomeStatistics.End.DECLINED : OutcomeStatistics.End.ABORTED, null,
+                null));
         }
         requests.removeIfDone(request);
     }
--- a/proxy/src/main/java/spurroad/routing/EndpointConnection.java
+++ b/proxy/src/main/java/spurroad/routing/EndpointConnection.java
@@ -6,6 +6,7 @@
 import java.util.Arrays;
 import spurroad.model.Outcome;
 import spurroad.protocol.ByteSource;
+import spurroad.protocol.MetaCommand;
 import spurroad.protocol.MetaResponse;
 import spurroad.protocol.ProtocolException;
 import spurroad.protocol.UpstreamReply;
@@ -25,6 +26,8 @@
     private static final long STREAM_STALL_NANOS = 2_500_000_000L;
     /** Divisor of the time left: the quotient is how long a value waits for memory before it is given up. */
     private static final int MEMORY_WAIT_DIVISOR = 2;
+    /** Bytes of a reply that need no reservation: its head, and a value that is read with it. */
+    private static final int UNRESERVED_READ_BYTES = 2 * UpstreamProtocol.MAX_INLINE_VALUE_BYTES;
     private static final byte[] LINE_END = MetaResponse.lineEnd();
 
     private final EndpointConnectionPool pool;
@@ -38,7 +41,8 @@
     private long readAtNanos;
     private StreamedResponse streamedResponse; // non-null while a long value is passed to a client
     private boolean reusableAfterStream;
-    private ReceivedValue receivedValue; // non-null while a value of unknown length is being received
+    private IncomingValue incomingValue; // non-null while a value is being received completely
+    private long valueStallNanos; // maximum pause within that value
     private long memoryDeadlineNanos; // until when the value waits for memory; 0 before it has to
     // the fields below are maintained by the pool
     /** The current attempt; null while idle. */
@@ -63,6 +67,7 @@
             pool.onConnectionLost(this);
             return;
         }
+        connection.setMaxReadBytes(UNRESERVED_READ_BYTES);
         timeout = pool.loop().schedule(timeoutNanos, this::abort);
         connection.connect(address, this);
     }
@@ -144,6 +149,9 @@
             finishStream();
         } else {
             boolean wanted = streamedResponse.isWanted();
+            if (wanted) {
+                connection.setMaxReadBytes(streamedResponse.windowBytes());
+            }
             connection.setReading(wanted);
             updateStreamTimeout(wanted);
         }
@@ -151,6 +159,7 @@
 
     /** Checks the end of a fully forwarded value before the client's response is completed. */
     private void finishStream() {
+        connection.setMaxReadBytes(UNRESERVED_READ_BYTES);
         connection.setReading(true);
         if (streamedResponse.isFollowedByLineEnd()) {
             if (input.available() < LINE_END.length) {
@@ -173,10 +182,15 @@
     private void updateStreamTimeout(boolean reading) {
         timeout.cancel();
         if (reading) {
-            timeout = pool.loop().schedule(STREAM_STALL_NANOS, this::abort);
+            scheduleStallTimeout(STREAM_STALL_NANOS);
         }
     }
 
+    private void scheduleStallTimeout(long stallNanos) {
+        timeout.cancel();
+        timeout = pool.loop().schedule(stallNanos, this::abort);
+    }
+
     /** Closes the connection because no client reads its value any more. */
     void abandonStream() {
         streamedResponse = null;
@@ -188,7 +202,7 @@
             stream();
             return;
         }
-        if (receivedValue != null) {
+        if (incomingValue != null) {
             receiveValue();
             return;
         }
@@ -200,13 +214,8 @@
                     return;
                 }
                 timeout.cancel();
-                if (reply.streamedBody() != null) {
-                    beginStream(reply);
-                    return;
-                }
-                if (reply.unsizedBody() != null) {
-                    receivedValue = new ReceivedValue(pool.replyMemory(), reply);
-                    receiveValue();
+                if (hasFurtherBody(reply)) {
+                    beginBody(reply);
                     return;
                 }
                 pool.onReply(this, attempt, input.available() == 0 ? reply : reply.withoutReuse());
@@ -216,6 +225,20 @@
         }
     }
 
+    private static boolean hasFurtherBody(UpstreamReply reply) {
+        return reply.streamedBody() != null || reply.unsizedBody() != null;
+    }
+
+    private void beginBody(UpstreamReply reply) {
+        if (reply.unsizedBody() != null) {
+            beginValue(new UnsizedValue(pool.replyMemory(), reply), STREAM_STALL_NANOS);
+        } else if (reply.streamedBody().length() <= MetaCommand.MAX_BUFFERED_VALUE_BYTES) {
+            beginValue(new SizedValue(pool.replyMemory(), reply, attempt.request), REPLY_STALL_NANOS);
+        } else {
+            beginStream(reply);
+        }
+    }
+
     private void beginStream(UpstreamReply reply) {
         reusableAfterStream = reply.reusable();
         connection.setReading(false); // until earlier responses to the client are written
@@ -231,16 +254,23 @@
         abort();
     }
 
-    // ---- replies of unknown length
+    // ---- values that are received completely
+
+    private void beginValue(IncomingValue value, long stallNanos) {
+        incomingValue = value;
+        valueStallNanos = stallNanos;
+        receiveValue();
+    }
 
     /** Takes what has arrived of the value; reads on only while there is memory for it. */
     private void receiveValue() {
         try {
-            switch (receivedValue.receive(input)) {
+            switch (incomingValue.receive(input)) {
                 case COMPLETE -> completeValue();
                 case BYTES_NEEDED -> {
+                    connection.setMaxReadBytes(Math.max(incomingValue.freeBytes(), UNRESERVED_READ_BYTES));
                     connection.setReading(true);
-                    updateStreamTimeout(true);
+                    scheduleStallTimeout(valueStallNanos);
                 }
                 case MEMORY_NEEDED -> awaitMemory();
             }
@@ -258,17 +288,16 @@
         connection.setReading(false);
         timeout.cancel();
         timeout = pool.loop().schedule(memoryDeadlineNanos - now, () -> pool.onReplyWithoutMemory(attempt));
-        receivedValue.awaitMemory(this::receiveValue);
+        incomingValue.awaitMemory(this::receiveValue);
     }
 
     private void completeValue() {
         connection.setReading(true); // what completes the value may have been read before a wait for memory
-        BufferedResponse response = receivedValue.response();
-        UpstreamReply reply = receivedValue.reply(response, attempt.command().id(), input.available() == 0);
-        receivedValue = null;
+        connection.setMaxReadBytes(UNRESERVED_READ_BYTES);
+        UpstreamReply reply = incomingValue.complete(attempt, input.available() == 0);
+        incomingValue = null;
         timeout.cancel();
         memoryDeadlineNanos = 0;
-        attempt.longResponse = response;
         pool.onReply(this, attempt, reply);
     }
 
@@ -305,9 +334,9 @@
 
     /** Ends the long value that was being received, if there is one. */
     private void failValue() {
-        if (receivedValue != null) {
-            receivedValue.release();
-            receivedValue = null;
+        if (incomingValue != null) {
+            incomingValue.release();
+            incomingValue = null;
         }
         if (streamedResponse != null) {
             StreamedResponse broken = streamedResponse;
--- a/proxy/src/main/java/spurroad/routing/ProxiedRequest.java
+++ b/proxy/src/main/java/spurroad/routing/ProxiedRequest.java
@@ -44,6 +44,14 @@
         this.deadlineNanos = deadlineNanos;
     }
 
+    /**
+     * Returns whether the response can be written as soon as it is there: all earlier responses to the client
+     * are written. Called on the event loop only.
+     */
+    boolean isNextResponse() {
+        return client == null || client.isNextResponse(this);
+    }
+
     /**
      * Returns whether no response is awaited any more; checks the client's connection now, if there is one.
      * Called on the event loop only.
--- a/proxy/src/main/java/spurroad/routing/RequestEvents.java
+++ b/proxy/src/main/java/spurroad/routing/RequestEvents.java
@@ -97,7 +97,7 @@
             if (!request.finished) {
                 counters.onResponse(false);
                 outbox.add(new ResponseMessage(request, MetaResponse.failed(), OutcomeStatistics.End.ABORTED,
-                    null));
+                    null, null));
                 abandon(request);
             }
         }
@@ -126,9 +126,9 @@
             request.finished = true;
             counters.onSucceeded();
             outbox.add(new ResponseMessage(request, reply.response(), OutcomeStatistics.End.SUCCEEDED,
-                attempt.longResponse));
-        } else if (attempt.longResponse != null) {
-            outbox.add(attempt.longResponse::abandon);
+                attempt.longResponse, attempt.responseMemory));
+        } else if (attempt.longResponse != null || attempt.responseMemory != null) {
+            outbox.add(attempt::abandonReply);
         }
         balancer.onAttemptEnd(clock.now(), request.id, attempt.index, reply.outcome(), reply.loadReport(),
             request.finished, stalls.totalNanos() - attempt.stalledNanosAtDecision, executor.cleared());
--- a/proxy/src/main/java/spurroad/routing/ResponseSlot.java
+++ b/proxy/src/main/java/spurroad/routing/ResponseSlot.java
@@ -16,9 +16,12 @@
     byte[] response;
     /** Long value that follows the response; null if there is none, or once it was passed on completely. */
     LongResponse streamed;
+    /** Whether a long value follows the response, or has followed it. */
+    boolean hasLongValue;
     /** Whether this is the last response: the connection is closed after it. */
     boolean last;
     private GrowthBudget.Reservation uploadMemory; // null if the command has no long value
+    private GrowthBudget.Reservation responseMemory; // null if none was reserved before the response
     private long requestBytes;
     private long responseBytes;
 
@@ -27,6 +30,11 @@
         uploadMemory = memory;
     }
 
+    /** Records the memory that was reserved for the response; null if there is none. */
+    void setResponseMemory(GrowthBudget.Reservation memory) {
+        responseMemory = memory;
+    }
+
     void setRequestBytes(long bytes) {
         requestBytes = bytes;
     }
@@ -65,5 +73,8 @@
         clients.requestMemory.release(responseBytes);
         requestBytes = responseBytes = 0;
         releaseUploadMemory();
+        if (responseMemory != null) {
+            responseMemory.release();
+        }
     }
 }
--- a/proxy/src/main/java/spurroad/routing/ResponseWriter.java
+++ b/proxy/src/main/java/spurroad/routing/ResponseWriter.java
@@ -4,6 +4,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import spurroad.transport.Connection;
+import spurroad.transport.GrowthBudget;
 
 /**
  * Writes the responses of one client connection in the order of its commands, and monitors how fast the
@@ -33,6 +34,10 @@
     private static final long STALL_TIMEOUT_UNDER_PRESSURE_NANOS = 1_000_000_000L;
     /** Maximum bytes of a long value that wait to be sent to the client. */
     private static final int STREAM_WINDOW_BYTES = 64 * 1024;
+    /** The same while there is no memory for more, so that every client gets its value, if slowly. */
+    private static final int MIN_STREAM_WINDOW_BYTES = 8 * 1024;
+    /** Bytes of a response that are part of the memory of its request. */
+    private static final int UNRESERVED_RESPONSE_BYTES = ClientConnections.REQUEST_MEMORY_BYTES / 2;
     /** Send buffer size for a long value, in bytes; the operating system allocates twice as much. */
     private static final int STREAM_SEND_BUFFER_BYTES = 128 * 1024;
     /** Time for the buffered end of a streamed response to reach the client, at 10 KB per second. */
@@ -48,6 +53,7 @@
     private long writingSinceNanos = Long.MAX_VALUE; // or the time of the client's last progress
     private long deliveringUntilNanos; // a long response may be in the system's buffers until then
     private long bytesAccepted; // as of the last progress check
+    private int streamWindowBytes; // of the long value that is being written
 
     ResponseWriter(Owner owner, ClientConnections clients, Connection connection) {
         this.owner = owner;
@@ -75,6 +81,11 @@
         return pending.isEmpty() && writing == null;
     }
 
+    /** Returns whether all responses before the one to a request are written. */
+    boolean isNext(ProxiedRequest request) {
+        return writing == null && !pending.isEmpty() && pending.peek().request == request;
+    }
+
     /**
      * Returns whether the client may still be receiving a long response that the operating system has
      * accepted.
@@ -96,9 +107,10 @@
      * Puts the final response of a request into its slot; does nothing if the request has no slot any more.
      */
     void respond(ProxiedRequest request, byte[] response, OutcomeStatistics.End end,
-                 LongResponse streamed) {
+                 LongResponse streamed, GrowthBudget.Reservation memory) {
         ResponseSlot slot = slotOf(request);
         if (slot == null) {
+            abandonUnwanted(streamed, memory);
             return;
         }
         clients.rules.onResponse(request.command.id(), slot.response != null,
@@ -106,10 +118,21 @@
         slot.response = response;
         slot.end = end;
         slot.streamed = streamed;
-        slot.setResponseBytes(response.length + (streamed == null ? 0 : STREAM_WINDOW_BYTES));
+        slot.hasLongValue = streamed != null;
+        slot.setResponseMemory(memory);
+        slot.setResponseBytes(memory != null ? 0 : Math.max(0, response.length - UNRESERVED_RESPONSE_BYTES));
         clients.reserveForResponse(slot.responseBytes());
     }
 
+    private static void abandonUnwanted(LongResponse streamed, GrowthBudget.Reservation memory) {
+        if (streamed != null) {
+            streamed.abandon();
+        }
+        if (memory != null) {
+            memory.release();
+        }
+    }
+
     private ResponseSlot slotOf(ProxiedRequest request) {
         for (ResponseSlot slot : pending) {
             if (slot.request == request) {
@@ -138,12 +161,26 @@
         if (writing.streamed != null) {
             // a reset discards what is in the send buffer, and nothing reports when it has been sent
             connection.limitSendBuffer(STREAM_SEND_BUFFER_BYTES);
+            reserveStreamWindow(writing);
             writing.streamed.start(this);
         } else if (connection.isDrained()) {
             onWritten();
         }
     }
 
+    /**
+     * Reserves the window of a long value only now that its turn has come: values that wait for earlier
+     * responses stay with their endpoints.
+     */
+    private void reserveStreamWindow(ResponseSlot slot) {
+        boolean hasMemory = clients.requestMemory.tryReserve(STREAM_WINDOW_BYTES);
+        streamWindowBytes = hasMemory ? STREAM_WINDOW_BYTES : MIN_STREAM_WINDOW_BYTES;
+        if (!hasMemory) {
+            clients.requestMemory.forceReserve(streamWindowBytes);
+        }
+        slot.setResponseBytes(slot.responseBytes() + streamWindowBytes);
+    }
+
     /**
      * Handles that the operating system has accepted everything written; returns whether that completed a
      * response.
@@ -167,9 +204,9 @@
         writingSinceNanos = Long.MAX_VALUE;
         slot.countEnd(slot.end);
         long now = clients.now();
-        if (slot.responseBytes() > STREAM_WINDOW_BYTES) {
+        if (slot.hasLongValue) {
             deliveringUntilNanos = now + STREAM_DELIVERY_NANOS;
-        } else if (slot.responseBytes() > LONG_RESPONSE_BYTES) {
+        } else if (slot.response.length > LONG_RESPONSE_BYTES) {
             deliveringUntilNanos = now + STALL_TIMEOUT_NANOS;
         }
         slot.release(clients);
@@ -185,6 +222,11 @@
         return !owner.isClosed() && connection.isDrained();
     }
 
+    /** Returns how many bytes of the value may be written at a time. */
+    int windowBytes() {
+        return streamWindowBytes;
+    }
+
     /** Writes a part of the value. */
     void writePart(ByteBuffer bytes) {
         connection.write(bytes);
--- a/proxy/src/main/java/spurroad/routing/StreamedResponse.java
+++ b/proxy/src/main/java/spurroad/routing/StreamedResponse.java
@@ -67,6 +67,11 @@
         return writer != null && !ended && writer.isReadyForMore();
     }
 
+    /** Returns how many bytes may be read from the endpoint at a time. */
+    int windowBytes() {
+        return writer.windowBytes();
+    }
+
     void onPart(ByteBuffer bytes) {
         remaining -= bytes.remaining();
         writer.writePart(bytes);
--- a/proxy/src/main/java/spurroad/routing/UpstreamProtocol.java
+++ b/proxy/src/main/java/spurroad/routing/UpstreamProtocol.java
@@ -9,6 +9,12 @@
 
 /** Encodes requests to an endpoint and parses its replies; each message has one reply. */
 interface UpstreamProtocol {
+    /**
+     * Maximum length in bytes of a value that is read with its reply. Memory is reserved for a longer one
+     * before it is read.
+     */
+    int MAX_INLINE_VALUE_BYTES = 2 * 1024;
+
     /**
      * Returns the message for a request, without its long value if it has one.
      *
@@ -37,7 +43,8 @@
 
         @Override
         public UpstreamReply reply(ByteSource in, MetaCommand command) throws IOException {
-            return command == null ? MetaResponse.readProbeResponse(in) : MetaResponse.read(in, command.id());
+            return command == null ? MetaResponse.readProbeResponse(in)
+                : MetaResponse.read(in, command.id(), MAX_INLINE_VALUE_BYTES);
         }
     };
 
@@ -57,7 +64,8 @@
 
             @Override
             public UpstreamReply reply(ByteSource in, MetaCommand command) throws IOException {
-                return command == null ? Http.readProbeResponse(in) : Http.read(in, command);
+                return command == null ? Http.readProbeResponse(in)
+                    : Http.read(in, command, MAX_INLINE_VALUE_BYTES);
             }
         };
     }
--- a/proxy/src/main/java/spurroad/routing/UpstreamRequest.java
+++ b/proxy/src/main/java/spurroad/routing/UpstreamRequest.java
@@ -2,6 +2,7 @@
 
 import spurroad.protocol.MetaCommand;
 import spurroad.transport.EventLoop;
+import spurroad.transport.GrowthBudget;
 
 /**
  * An attempt to serve a request at an endpoint, or a load probe, which has no request. It is created on the
@@ -39,6 +40,8 @@
     boolean ended;
     /** The long value of the reply, or null if the reply has none. */
     LongResponse longResponse;
+    /** The memory of the reply's response, or null if none was reserved for it. */
+    GrowthBudget.Reservation responseMemory;
 
     UpstreamRequest(ProxiedRequest request, int index, EndpointConnectionPool pool, long deadlineNanos,
                     long sendDeadlineNanos, long stalledNanosAtDecision) {
@@ -72,6 +75,16 @@
         return !isLoadProbe() && request.isAbandoned();
     }
 
+    /** Gives up a reply whose response is not needed. Called on the event loop only. */
+    void abandonReply() {
+        if (longResponse != null) {
+            longResponse.abandon();
+        }
+        if (responseMemory != null) {
+            responseMemory.release();
+        }
+    }
+
     @Override
     public String toString() {
         return isLoadProbe() ? "load probe" : "request=" + request.command.id() + " attempt=" + (index + 1);
--- a/proxy/src/main/java/spurroad/transport/GrowthBudget.java
+++ b/proxy/src/main/java/spurroad/transport/GrowthBudget.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.Executor;
+import java.util.function.BooleanSupplier;
 
 /**
  * Limits the memory of values that grow while they are received. Each value has a reservation with a known
@@ -15,16 +16,21 @@
  * each with what those before it have released; so they never wait for each other in a cycle (the banker's
  * algorithm of Dijkstra, EWD 623).
  *
+ * <p>A part of the budget is kept for urgent reservations: those whose value can be passed on as soon as it
+ * is complete, which releases its memory.
+ *
  * <p>Used on the event loop only.
  */
 public final class GrowthBudget {
     /** Memory held for one value. */
     public final class Reservation {
+        private final BooleanSupplier urgency;
         private long maxBytes;
         private long heldBytes;
 
-        private Reservation(long maxBytes) {
+        private Reservation(long maxBytes, BooleanSupplier urgency) {
             this.maxBytes = maxBytes;
+            this.urgency = urgency;
         }
 
         /**
@@ -32,7 +38,7 @@
          * the maximum. Returns whether they are reserved.
          */
         public boolean tryGrow(long bytes) {
-            if (bytes > freeBytes) {
+            if (bytes > freeBytes || !mayGrow()) {
                 return false;
             }
             hold(bytes);
@@ -83,6 +89,10 @@
             unheldBytes -= bytes;
         }
 
+        private boolean mayGrow() {
+            return freeBytes > urgentBytes || urgency.getAsBoolean();
+        }
+
         private long remaining() {
             return maxBytes - heldBytes;
         }
@@ -92,10 +102,13 @@
 
     /** Waiting reservations that are refused in one pass before it ends, which bounds its duration. */
     private static final int MAX_REFUSALS_PER_PASS = 8;
+    /** Divisor of the budget: the quotient is kept for urgent reservations. */
+    private static final int URGENT_DIVISOR = 2;
 
     private final Executor executor;
     private final Set<Reservation> reservations = new LinkedHashSet<>();
     private final Map<Reservation, Growth> waiting = new LinkedHashMap<>(); // the longest waiting first
+    private final long urgentBytes; // what is kept for urgent reservations
     private long freeBytes;
     private long unheldBytes; // what all reservations together may still ask for
     private boolean growthScheduled;
@@ -107,12 +120,18 @@
      */
     public GrowthBudget(long bytes, Executor executor) {
         freeBytes = bytes;
+        urgentBytes = bytes / URGENT_DIVISOR;
         this.executor = executor;
     }
 
-    /** Opens an empty reservation that will grow to the given number of bytes at most. */
+    /** Opens an empty urgent reservation that will grow to the given number of bytes at most. */
     public Reservation open(long maxBytes) {
-        Reservation opened = new Reservation(maxBytes);
+        return open(maxBytes, () -> true);
+    }
+
+    /** Does the same for a reservation that is urgent only while a condition holds. */
+    public Reservation open(long maxBytes, BooleanSupplier urgency) {
+        Reservation opened = new Reservation(maxBytes, urgency);
         reservations.add(opened);
         unheldBytes += maxBytes;
         return opened;
@@ -155,6 +174,9 @@
         growthScheduled = false;
         int refusals = 0;
         for (Reservation next : List.copyOf(waiting.keySet())) {
+            if (!next.mayGrow()) {
+                continue;
+            }
             refusals += growIfWaiting(next) ? 0 : 1;
             if (refusals == MAX_REFUSALS_PER_PASS) {
                 waiting.keySet().stream().min(Comparator.comparingLong(Reservation::remaining))
--- a/proxy/src/test/java/spurroad/routing/EndpointConnectionPoolTest.java
+++ b/proxy/src/test/java/spurroad/routing/EndpointConnectionPoolTest.java
@@ -19,6 +19,7 @@
 import java.util.function.Function;
 import org.testng.annotations.AfterClass;
 import org.testng.annotations.BeforeClass;
+import org.testng.annotations.BeforeMethod;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 import spurroad.fixture.ScriptedPeers;
@@ -47,15 +48,20 @@
     private final EventLog log = new EventLog();
     private final Clock clock = new Clock();
     private final EventLoop loop = new EventLoop(log, clock);
-    private final GrowthBudget replyMemory = new GrowthBudget(MetaCommand.MAX_VALUE_BYTES, loop::execute);
     private final BlockingQueue<UpstreamReply> ended = new LinkedBlockingQueue<>();
     private final AtomicInteger forwarded = new AtomicInteger();
+    private GrowthBudget replyMemory;
 
     @BeforeClass
     public void start() {
         new Threads(log).start("loop", loop);
     }
 
+    @BeforeMethod
+    public void renewMemory() {
+        replyMemory = new GrowthBudget(MetaCommand.MAX_VALUE_BYTES, loop::execute);
+    }
+
     @AfterClass
     public void end() {
         loop.shutdown();
@@ -170,6 +176,48 @@
         }
     }
 
+    @DataProvider
+    Object[][] wholeValues() {
+        return new Object[][] {{false, 65_536}, {false, 40_000}, {true, 65_536}, {true, 40_000}};
+    }
+
+    /**
+     * Guards against values for which no memory is reserved: clients that sent 16 reads at once and took the
+     * values slowly exhausted the heap.
+     */
+    @Test(dataProvider = "wholeValues")
+    public void holdsNoMoreValuesThanMemoryAllows(boolean origin, int length) throws Exception {
+        String value = "x".repeat(length);
+        int attemptCount = 2 * MetaCommand.MAX_VALUE_BYTES / length;
+        try (ScriptedPeers.Peer peer = new ScriptedPeers.Peer(
+            message -> origin ? "HTTP/1.1 200 OK\r\nContent-Length: " + length + "\r\n\r\n" + value
+                : "VA " + length + " O1\r\n" + value + "\r\n")) {
+            EndpointConnectionPool pool = pool(peer.port, origin, new DescriptorBudget(1_000));
+            List<UpstreamRequest> attempts = new ArrayList<>();
+            for (int i = 0; i < attemptCount; i++) {
+                attempts.add(begin(pool, LONG_TIMEOUT_NANOS));
+                assertNotNull(peer.await(origin ? "GET" : "mg"));
+            }
+            for (int i = 0; i < MetaCommand.MAX_VALUE_BYTES / length - 1; i++) {
+                assertEquals(outcome(), Outcome.SUCCEEDED);
+            }
+            Thread.sleep(SHORT_TIMEOUT_NANOS / 1_000_000);
+            assertTrue(ended.size() <= 1, ended.size() + " more values are held than there is memory for");
+            loop.execute(() -> releaseAsTheyEnd(attempts));
+            for (int i = MetaCommand.MAX_VALUE_BYTES / length - 1; i < attemptCount; i++) {
+                assertEquals(outcome(), Outcome.SUCCEEDED);
+            }
+        }
+    }
+
+    private void releaseAsTheyEnd(List<UpstreamRequest> attempts) {
+        attempts.stream().filter(attempt -> attempt.ended).forEach(UpstreamRequest::abandonReply);
+        List<UpstreamRequest> open = attempts.stream().filter(attempt -> !attempt.ended).toList();
+        if (!open.isEmpty()) {
+            loop.execute(() -> releaseAsTheyEnd(open));
+        }
+    }
+
     @DataProvider
     Object[][] streamEnds() {
         String head = "HTTP/1.1 200 OK\r\n";
--- a/proxy/src/test/java/spurroad/transport/GrowthBudgetTest.java
+++ b/proxy/src/test/java/spurroad/transport/GrowthBudgetTest.java
@@ -9,6 +9,7 @@
 import java.util.Deque;
 import java.util.List;
 import java.util.Random;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.testng.annotations.Test;
 
 /** Guards against values that wait for each other's memory forever, and against more memory than planned. */
@@ -139,4 +140,26 @@
             }
         }
     }
+
+    /** Guards against values that wait for others holding all memory that those need: both would time out. */
+    @Test
+    public void keepsHalfForUrgentReservations() {
+        GrowthBudget budget = budget(100);
+        AtomicBoolean urgent = new AtomicBoolean();
+        List<String> grown = new ArrayList<>();
+        GrowthBudget.Reservation first = budget.open(40, urgent::get);
+        GrowthBudget.Reservation second = budget.open(20, urgent::get);
+        GrowthBudget.Reservation third = budget.open(20, urgent::get);
+        assertTrue(first.tryGrow(40));
+        assertTrue(second.tryGrow(20));
+        assertFalse(third.tryGrow(20), "only the half for urgent ones is left");
+        third.growLater(20, () -> grown.add("third"));
+        second.release();
+        runTasks();
+        assertEquals(grown, List.of("third"));
+        GrowthBudget.Reservation fourth = budget.open(30, urgent::get);
+        assertFalse(fourth.tryGrow(30));
+        urgent.set(true);
+        assertTrue(fourth.tryGrow(30));
+    }
 }
