Reset a write that is given up, so that the kernel does not deliver it later

Cause: bytes that the kernel's send queue had taken counted as sent, so that the send deadline was met at once, and an attempt that was given up ended with an orderly close, after which the kernel sends the rest.

Change: giving a write up resets its connection. At the send deadline of an attempt without a reply UnacknowledgedSends reads /proc/net/tcp; what is still in the send queue is given up, as CANCELLED, since it may leave in between.

Why it works: a reset drops the send queue, so the endpoint never has the last byte.

Evidence: EndpointConnectionPoolTest.writeThatIsGivenUpIsNotDeliveredLater fails in all four rows without the change (deadline, send deadline, cancel; 600,000 and 200,000 bytes).

--- a/proxy/src/main/java/spurroad/routing/EndpointConnection.java
+++ b/proxy/src/main/java/spurroad/routing/EndpointConnection.java
@@ -12,6 +12,7 @@
 import spurroad.protocol.UpstreamReply;
 import spurroad.transport.Connection;
 import spurroad.transport.EventLoop;
+import spurroad.transport.UnacknowledgedSends;
 
 /**
  * A connection to an endpoint that carries one attempt at a time: it connects, sends requests and parses
@@ -370,6 +371,24 @@
         failValue();
     }
 
+    /**
+     * Returns whether the last byte of the current request may not have reached the endpoint's system yet,
+     * although it was sent.
+     */
+    boolean isRequestUndelivered() {
+        return UnacknowledgedSends.read().map(connection::hasUnacknowledgedBytes)
+            .orElseGet(() -> attempt != null && attempt.command().hasLongValue());
+    }
+
+    /**
+     * Closes the connection so that the kernel sends nothing more of the request: after an orderly close an
+     * endpoint that takes a request in slowly would receive the rest of it and run it.
+     */
+    void recallRequest() {
+        connection.reset();
+        close();
+    }
+
     /** Closes the connection and ignores all further input. */
     void close() {
         closed = true;
--- a/proxy/src/main/java/spurroad/routing/EndpointConnectionPool.java
+++ b/proxy/src/main/java/spurroad/routing/EndpointConnectionPool.java
@@ -7,6 +7,7 @@
 import spurroad.model.LoadReport;
 import spurroad.model.Outcome;
 import spurroad.protocol.EndpointList.ListedEndpoint;
+import spurroad.protocol.MetaCommand;
 import spurroad.protocol.UpstreamReply;
 import spurroad.transport.Connection;
 import spurroad.transport.DescriptorBudget;
@@ -141,7 +142,7 @@
     void cancel(UpstreamRequest attempt) {
         if (!attempt.ended) {
             trace.onCancel(attempt);
-            closeConnection(attempt);
+            giveUpConnection(attempt);
             end(attempt, withoutReply(cancelledOutcome(attempt)));
         }
     }
@@ -235,15 +236,40 @@
         if (attempt.ended) {
             return;
         }
-        if (attempt.fullySent && now() < attempt.deadlineNanos) {
+        if (now() >= attempt.deadlineNanos) {
+            giveUpConnection(attempt);
+            end(attempt, withoutReply(attempt.fullySent ? Outcome.TIMED_OUT : Outcome.NO_CONNECTION));
+        } else {
+            onSendDeadline(attempt);
+        }
+    }
+
+    /**
+     * Handles that the last byte must have been sent by now. It is sent in time only if it has left the send
+     * queue of the kernel, which takes in whole values of an endpoint that reads slowly. A miss of the
+     * deadline is not a fault of the endpoint.
+     */
+    private void onSendDeadline(UpstreamRequest attempt) {
+        if (!attempt.fullySent) {
+            giveUpConnection(attempt);
+            end(attempt, withoutReply(Outcome.NOT_SENT));
+        } else if (attempt.connection.isRequestUndelivered()) {
+            giveUpConnection(attempt);
+            // it may have been delivered since the look
+            end(attempt, withoutReply(Outcome.CANCELLED));
+        } else {
             scheduleTimeout(attempt, attempt.deadlineNanos); // sent in time, its reply may still arrive
-            return;
         }
-        // only the send deadline passed: not a fault of the endpoint
-        boolean sendTimeout = now() < attempt.deadlineNanos;
-        closeConnection(attempt);
-        Outcome notSent = sendTimeout ? Outcome.NOT_SENT : Outcome.NO_CONNECTION;
-        end(attempt, withoutReply(attempt.fullySent ? Outcome.TIMED_OUT : notSent));
+    }
+
+    /** Gives up the connection of an attempt; a write that has not been delivered whole never is. */
+    private static void giveUpConnection(UpstreamRequest attempt) {
+        boolean isWrite = !attempt.isLoadProbe() && attempt.command().kind == MetaCommand.Kind.WRITE;
+        if (isWrite && attempt.firstByteSent && attempt.connection != null) {
+            attempt.connection.recallRequest();
+        } else {
+            closeConnection(attempt);
+        }
     }
 
     private static void closeConnection(UpstreamRequest attempt) {
--- a/proxy/src/main/java/spurroad/transport/Connection.java
+++ b/proxy/src/main/java/spurroad/transport/Connection.java
@@ -2,6 +2,7 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.net.Socket;
 import java.nio.ByteBuffer;
 import java.nio.channels.ReadableByteChannel;
 import java.nio.channels.SelectableChannel;
@@ -283,6 +284,19 @@
         return writeQueue.isEmpty();
     }
 
+    /**
+     * Returns whether written bytes may not have reached the peer's system, as of the moment at which the
+     * argument was read.
+     */
+    public boolean hasUnacknowledgedBytes(UnacknowledgedSends sends) {
+        if (!(sink instanceof SocketChannel socket) || isClosed()) {
+            return !isDrained();
+        }
+        Socket addresses = socket.socket();
+        return !isDrained() || sends.contains((InetSocketAddress) addresses.getLocalSocketAddress(),
+            (InetSocketAddress) addresses.getRemoteSocketAddress());
+    }
+
     /** Limits, approximately, how many sent bytes the kernel buffers for a slow peer (SO_SNDBUF). */
     public void limitSendBuffer(int bytes) {
         try {
@@ -316,7 +330,10 @@
         }
     }
 
-    /** Closes with a TCP reset, which tells the peer that data it has sent may not have been read. */
+    /**
+     * Closes with a TCP reset, which tells the peer that data it has sent may not have been read, and drops
+     * what the kernel has not sent yet.
+     */
     public void reset() {
         try {
             TcpOptions.resetOnClose(source);
--- /dev/null
+++ b/proxy/src/main/java/spurroad/transport/UnacknowledgedSends.java
@@ -0,0 +1,94 @@
+package spurroad.transport;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.HashSet;
+import java.util.Locale;
+import java.util.Optional;
+import java.util.Set;
+
+/**
+ * The connections of this machine with sent bytes that their peers' systems have not acknowledged, as of one
+ * moment. Such bytes are in the send queue of this machine's kernel: a reset drops them, an orderly close
+ * goes on sending them. Read from Linux's {@code /proc/net/tcp} and {@code tcp6} (proc(5)), which takes some
+ * milliseconds.
+ */
+public final class UnacknowledgedSends {
+    private static final int LOCAL_ADDRESS_FIELD = 1; // hexadecimal ADDRESS:PORT
+    private static final int REMOTE_ADDRESS_FIELD = 2;
+    private static final int QUEUES_FIELD = 4; // hexadecimal SEND:RECEIVE
+    private static final int FIELDS_READ = 5;
+    private static final int WORD_BYTES = 4;
+    private static final int WORD_DIGITS = 2 * WORD_BYTES;
+    private static final String EMPTY_QUEUE = "00000000:";
+
+    private final Set<String> connections = new HashSet<>(); // local port, remote address and port
+
+    private UnacknowledgedSends() {}
+
+    /** Returns the current state; empty if the system does not report it. */
+    public static Optional<UnacknowledgedSends> read() {
+        return read(Path.of("/proc/self/net/tcp"), Path.of("/proc/self/net/tcp6"));
+    }
+
+    /** Reads the tables of IPv4 and IPv6 sockets, of which one may be missing. */
+    static Optional<UnacknowledgedSends> read(Path ipv4SocketTable, Path ipv6SocketTable) {
+        UnacknowledgedSends sends = new UnacknowledgedSends();
+        boolean hasIpv4 = sends.add(ipv4SocketTable);
+        boolean hasIpv6 = sends.add(ipv6SocketTable);
+        return hasIpv4 || hasIpv6 ? Optional.of(sends) : Optional.empty();
+    }
+
+    private boolean add(Path socketTable) {
+        try (BufferedReader lines = Files.newBufferedReader(socketTable, StandardCharsets.US_ASCII)) {
+            lines.readLine(); // the header
+            for (String line = lines.readLine(); line != null; line = lines.readLine()) {
+                addLine(line);
+            }
+            return true;
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
+    private void addLine(String line) {
+        String[] fields = line.strip().split("\\s+", FIELDS_READ + 1);
+        if (fields.length >= FIELDS_READ && !fields[QUEUES_FIELD].startsWith(EMPTY_QUEUE)) {
+            String local = fields[LOCAL_ADDRESS_FIELD];
+            connections.add(key(local.substring(local.indexOf(':') + 1), fields[REMOTE_ADDRESS_FIELD]));
+        }
+    }
+
+    /** Identifies a connection; an IPv4 address is the last word of the same address in IPv6. */
+    private static String key(String localPort, String remote) {
+        int portAt = remote.indexOf(':');
+        String address = remote.substring(0, portAt);
+        boolean isMapped = address.startsWith("0000000000000000FFFF0000");
+        String shortAddress = isMapped ? address.substring(address.length() - WORD_DIGITS) : address;
+        return localPort + " " + shortAddress + remote.substring(portAt);
+    }
+
+    /** Returns whether a connection between two addresses has unacknowledged bytes. */
+    boolean contains(InetSocketAddress local, InetSocketAddress remote) {
+        return connections.contains(key(hexPort(local), hexAddress(remote) + ":" + hexPort(remote)));
+    }
+
+    private static String hexPort(InetSocketAddress address) {
+        return String.format(Locale.ROOT, "%04X", address.getPort());
+    }
+
+    /** Returns an address as the kernel of a little-endian machine prints it, each word in reverse. */
+    private static String hexAddress(InetSocketAddress address) {
+        byte[] bytes = address.getAddress().getAddress();
+        StringBuilder hex = new StringBuilder();
+        for (int i = 0; i < bytes.length; i++) {
+            int inWord = WORD_BYTES - 1 - i % WORD_BYTES;
+            hex.append(String.format(Locale.ROOT, "%02X", bytes[i - i % WORD_BYTES + inWord]));
+        }
+        return hex.toString();
+    }
+}
--- a/proxy/src/test/java/spurroad/routing/EndpointConnectionPoolTest.java
+++ b/proxy/src/test/java/spurroad/routing/EndpointConnectionPoolTest.java
@@ -9,6 +9,8 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.SocketException;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
@@ -60,6 +62,7 @@
     @BeforeMethod
     public void renewMemory() {
         replyMemory = new GrowthBudget(MetaCommand.MAX_VALUE_BYTES, loop::execute);
+        forwarded.set(0);
     }
 
     @AfterClass
@@ -293,6 +296,70 @@
         }
     }
 
+    /** How the proxy gives up a write, and the outcome of the attempt. */
+    private enum GivenUp {
+        DEADLINE(Outcome.TIMED_OUT), SEND_DEADLINE(Outcome.CANCELLED), CANCEL(Outcome.CANCELLED);
+
+        private final Outcome outcome;
+
+        GivenUp(Outcome outcome) {
+            this.outcome = outcome;
+        }
+    }
+
+    @DataProvider
+    Object[][] longWritesGivenUp() {
+        return new Object[][] {{GivenUp.DEADLINE, 600_000}, {GivenUp.SEND_DEADLINE, 600_000},
+            {GivenUp.CANCEL, 600_000}, {GivenUp.SEND_DEADLINE, 200_000}};
+    }
+
+    /**
+     * Guards against a write whose last byte reaches an endpoint that takes it in slowly after the write was
+     * given up: the kernel went on sending it, and it ran after the deduplication window.
+     */
+    @Test(dataProvider = "longWritesGivenUp")
+    public void writeThatIsGivenUpIsNotDeliveredLater(GivenUp how, int length) throws Exception {
+        try (ServerSocket endpoint = new ServerSocket()) {
+            endpoint.setReceiveBufferSize(16 * 1024);
+            endpoint.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+            EndpointConnectionPool pool = pool(endpoint.getLocalPort(), true, new DescriptorBudget(100));
+            MetaCommand write = MetaCommand.read(new ByteSource(new ByteArrayInputStream(
+                ("ms k " + length + " O1 Pc=put,d=480,k=1\r\n").getBytes())));
+            write.valueChunks(List.of(new byte[length]));
+            ProxiedRequest request = new ProxiedRequest(null, write, new RequestClassId(0), null, null, 0, 0);
+            long now = clock.now();
+            UpstreamRequest attempt = new UpstreamRequest(request, 0, pool,
+                now + (how == GivenUp.DEADLINE ? SHORT_TIMEOUT_NANOS : LONG_TIMEOUT_NANOS),
+                how == GivenUp.SEND_DEADLINE ? now + SHORT_TIMEOUT_NANOS : Long.MAX_VALUE, 0);
+            loop.execute(() -> pool.start(attempt));
+            try (Socket accepted = endpoint.accept()) {
+                while (forwarded.get() == 0) {
+                    Thread.sleep(1); // until the kernel has taken all of it
+                }
+                if (how == GivenUp.CANCEL) {
+                    loop.execute(() -> pool.cancel(attempt));
+                }
+                assertEquals(outcome(), how.outcome);
+                Thread.sleep(SHORT_TIMEOUT_NANOS / 1_000_000); // the descriptor is closed a moment later
+                assertTrue(readUntilEnd(accepted) < length, "the write was delivered whole");
+            }
+        }
+    }
+
+    /** Returns how many bytes can be read up to the end or the reset of a connection. */
+    private static int readUntilEnd(Socket socket) throws IOException {
+        byte[] buffer = new byte[8192];
+        int total = 0;
+        try {
+            for (int read = 0; read >= 0; read = socket.getInputStream().read(buffer)) {
+                total += read;
+            }
+        } catch (SocketException e) {
+            // reset
+        }
+        return total;
+    }
+
     @Test
     public void secondReplyEndsNoOtherAttemptAndClosesConnection() throws Exception {
         try (ScriptedPeers.Peer peer = new ScriptedPeers.Peer(message -> "EN O1\r\nEN O1\r\n")) {
--- /dev/null
+++ b/proxy/src/test/java/spurroad/transport/UnacknowledgedSendsTest.java
@@ -0,0 +1,77 @@
+package spurroad.transport;
+
+import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
+
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Optional;
+import org.testng.annotations.DataProvider;
+import org.testng.annotations.Test;
+
+/** Guards against sent bytes that count as delivered because the kernel has taken them. */
+public class UnacknowledgedSendsTest {
+    private static final Path MISSING = Path.of("no-such-table");
+    private static final String HEADER = "  sl  local_address rem_address   st tx_queue rx_queue tr tm->when\n";
+
+    @DataProvider
+    Object[][] connections() throws Exception {
+        InetAddress ipv6 = InetAddress.getByName("2001:db8::5");
+        return new Object[][] {
+            {"0100007F:1F90 0200007F:C350 01 00000001:00000000 00:0", InetAddress.getByName("127.0.0.2"),
+                true},
+            {"0100007F:1F90 0200007F:C350 01 00000000:00000009 00:0", InetAddress.getByName("127.0.0.2"),
+                false},
+            {"0100007F:1F90 0200007F:C351 01 00000001:00000000 00:0", InetAddress.getByName("127.0.0.2"),
+                false},
+            {"0100007F:1F91 0200007F:C350 01 00000001:00000000 00:0", InetAddress.getByName("127.0.0.2"),
+                false},
+            {"0000000000000000FFFF00000100007F:1F90 0000000000000000FFFF00000200007F:C350 01 00000100:00000000 0",
+                InetAddress.getByName("127.0.0.2"), true},
+            {"B80D0120000000000000000001000000:1F90 B80D0120000000000000000005000000:C350 01 00000100:00000000 0",
+                ipv6, true}};
+    }
+
+    @Test(dataProvider = "connections")
+    public void findsConnectionInTable(String line, InetAddress remote, boolean expected) throws Exception {
+        Path table = Files.writeString(Files.createTempFile("tcp", ""), HEADER + "   0: " + line + "\n");
+        UnacknowledgedSends sends = UnacknowledgedSends.read(MISSING, table).orElseThrow();
+        assertEquals(sends.contains(new InetSocketAddress(8080), new InetSocketAddress(remote, 50_000)),
+            expected);
+    }
+
+    @Test
+    public void isEmptyWithoutTables() {
+        assertEquals(UnacknowledgedSends.read(MISSING, MISSING), Optional.empty());
+    }
+
+    /** A peer whose buffers are full acknowledges the rest once it reads. */
+    @Test
+    public void followsRealConnection() throws Exception {
+        try (ServerSocket server = new ServerSocket()) {
+            server.setReceiveBufferSize(16 * 1024);
+            server.bind(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0));
+            try (Socket sender = new Socket(server.getInetAddress(), server.getLocalPort());
+                Socket reader = server.accept()) {
+                sender.getOutputStream().write(new byte[300_000]);
+                assertTrue(isUnacknowledged(sender));
+                reader.getInputStream().readNBytes(300_000);
+                for (int i = 0; i < 200 && isUnacknowledged(sender); i++) {
+                    Thread.sleep(10); // acknowledgements may be delayed
+                }
+                assertFalse(isUnacknowledged(sender));
+            }
+        }
+    }
+
+    private static boolean isUnacknowledged(Socket socket) {
+        return UnacknowledgedSends.read().orElseThrow().contains(
+            (InetSocketAddress) socket.getLocalSocketAddress(),
+            (InetSocketAddress) socket.getRemoteSocketAddress());
+    }
+}
