Do not reset idle connections over answers that have not been delivered

Cause: idle connections are reset, which drops the kernel's send queue; whether it held anything was judged by the size of the last answer alone, and a new command counted as a sign that earlier answers had been read.

Change: ResponseWriter counts what the kernel has been given since its queue was last seen empty. Over 1 KiB the connection is not reset, at a crowd, for want of descriptors or at the end, until DeliveryCheck has found its send queue empty in /proc/net/tcp; 10 and 30 s remain the longest. At the end such connections close in order.

--- a/proxy/src/main/java/spurroad/routing/ClientConnection.java
+++ b/proxy/src/main/java/spurroad/routing/ClientConnection.java
@@ -6,6 +6,7 @@
 import spurroad.protocol.MetaResponse;
 import spurroad.transport.Connection;
 import spurroad.transport.GrowthBudget;
+import spurroad.transport.UnacknowledgedSends;
 
 /**
  * Connection of a client. Answers its commands or admits them as requests, and closes the connection if its
@@ -316,13 +317,28 @@
     /**
      * Returns whether the connection is idle between two commands. A connection that was just opened is not:
      * its first command is on its way, and the client does not send it again. Nor is a connection whose
-     * client may still be receiving a long response: a reset drops what the operating system has not sent
-     * yet. With four times the usual load, such resets cut off responses of up to 400 KB some 14 ms after the
-     * clients' timeouts, and the requests were lost.
+     * client may still be receiving responses: a reset drops what the operating system has not sent yet.
      */
     private boolean isIdle() {
         long now = clients.now();
-        return isBetweenCommands() && !responses.isDelivering(now) && activity.isIdle(now);
+        return isBetweenCommands() && !responses.mayHaveUndelivered(now) && activity.isIdle(now);
+    }
+
+    /** Returns whether the connection could be closed as idle if its responses were delivered. */
+    boolean awaitsDelivery(long now) {
+        return responses.mayHaveUndelivered(now) && isBetweenCommands() && activity.isIdle(now);
+    }
+
+    /** Notes that the responses are delivered, if the given state shows it. */
+    void confirmDelivery(UnacknowledgedSends sends) {
+        if (!connection.hasUnacknowledgedBytes(sends)) {
+            responses.onDelivered();
+        }
+    }
+
+    /** Returns whether the connection has been idle for so long that it should be closed. */
+    boolean isIdleTimeoutExpired(boolean crowded) {
+        return activity.isIdleTimeoutExpired(clients.now(), crowded);
     }
 
     /**
@@ -336,9 +352,18 @@
         }
     }
 
+    /** Closes the connection as {@link #closeIfIdle} does, and in order if a reset could drop responses. */
+    void endIfIdle() {
+        if (awaitsDelivery(clients.now())) {
+            closeBetweenCommands();
+        } else {
+            closeIfIdle();
+        }
+    }
+
     private EvictionPriority evictionPriority() {
         if (!responses.isIdle() || state.discardsInput() || commands.isUploadWaitingForMemory()
-            || responses.isDelivering(clients.now())) {
+            || responses.mayHaveUndelivered(clients.now())) {
             return EvictionPriority.REQUEST_IN_FLIGHT;
         }
         if (!commands.isBetweenCommands()) {
--- a/proxy/src/main/java/spurroad/routing/ClientConnections.java
+++ b/proxy/src/main/java/spurroad/routing/ClientConnections.java
@@ -57,6 +57,7 @@
     /** Requests whose final response was not written yet, by request id; ids are unique among them. */
     final Map<String, ProxiedRequest> openRequests = new HashMap<>();
     private final Set<ClientConnection> connections = new LinkedHashSet<>();
+    private final DeliveryCheck deliveryCheck;
     private final OutcomeStatistics statistics;
     private final int maxConnections;
     private DeploymentSettings settings;
@@ -77,6 +78,7 @@
         this.log = log;
         this.loadBalancer = loadBalancer;
         maxConnections = connectionLimit;
+        deliveryCheck = new DeliveryCheck(loop);
         statistics = loadBalancer.outcomeStatistics();
         rules = loadBalancer.rules();
         events = new ClientEventCounters(log, loop.now());
@@ -209,6 +211,7 @@
     @Override
     public void onPermitsExhausted() {
         log.warn("no descriptor left for clients", "connections=" + connections.size());
+        deliveryCheck.run(connections);
         List<Candidate> candidates = connections.stream().map(c -> new Candidate(c, c.overdue()))
             .filter(candidate -> candidate.overdue >= 1)
             .sorted(Comparator.comparingDouble(Candidate::overdue).reversed())
@@ -228,6 +231,7 @@
      */
     private void closeInactive() {
         boolean crowded = CROWDED_DIVISOR * connections.size() > maxConnections;
+        deliveryCheck.run(connections.stream().filter(c -> c.isIdleTimeoutExpired(crowded)).toList());
         List.copyOf(connections).forEach(connection -> connection.closeIfInactive(crowded));
         events.logIfDue(now());
         if (!shuttingDown || !connections.isEmpty()) {
@@ -255,6 +259,7 @@
     }
 
     private void closeQuietConnections() {
+        deliveryCheck.run(connections);
         List.copyOf(connections).stream()
             .filter(connection -> now() - connection.lastActivityNanos() > QUIET_AFTER_NANOS
                 && connection.overdue() >= 1)
@@ -267,7 +272,7 @@
     /** Starts closing connections between two commands; responses are written first. */
     public void end() {
         shuttingDown = true;
-        loop.execute(() -> List.copyOf(connections).forEach(ClientConnection::closeIfIdle));
+        loop.execute(() -> List.copyOf(connections).forEach(ClientConnection::endIfIdle));
     }
 
     /** Ensures that all requests, current and future, are answered within this time from now. */
--- a/proxy/src/main/java/spurroad/routing/ResponseWriter.java
+++ b/proxy/src/main/java/spurroad/routing/ResponseWriter.java
@@ -42,8 +42,10 @@
     private static final int STREAM_SEND_BUFFER_BYTES = 128 * 1024;
     /** Time for the buffered end of a streamed response to reach the client, at 10 KB per second. */
     private static final long STREAM_DELIVERY_NANOS = 30_000_000_000L;
-    /** A response up to this size fits into the client's buffers completely. */
+    /** A response up to this size fits into the client's buffers completely, if it is the only one. */
     private static final int LONG_RESPONSE_BYTES = 16 * 1024;
+    /** Bytes that fit into the smallest receive buffer that a client can have. */
+    private static final int MIN_RECEIVE_BUFFER_BYTES = 1024;
 
     private final Owner owner;
     private final ClientConnections clients;
@@ -52,6 +54,8 @@
     private ResponseSlot writing; // not yet completely accepted by the operating system
     private long writingSinceNanos = Long.MAX_VALUE; // or the time of the client's last progress
     private long deliveringUntilNanos; // a long response may be in the system's buffers until then
+    private long receivingUntilNanos; // responses may be in the system's send queue until then
+    private long bytesDelivered; // known to have left the system's send queue
     private long bytesAccepted; // as of the last progress check
     private int streamWindowBytes; // of the long value that is being written
 
@@ -94,6 +98,21 @@
         return nowNanos <= deliveringUntilNanos;
     }
 
+    /**
+     * Returns whether responses, of any size, may still be in the system's send queue, which a reset drops. A
+     * client that takes nothing for a long time is treated as gone.
+     */
+    boolean mayHaveUndelivered(long nowNanos) {
+        return connection.bytesAccepted() - bytesDelivered > MIN_RECEIVE_BUFFER_BYTES
+            && nowNanos <= receivingUntilNanos;
+    }
+
+    /** Notes that the system's send queue was found empty. */
+    void onDelivered() {
+        bytesDelivered = connection.bytesAccepted();
+        deliveringUntilNanos = 0;
+    }
+
     /** Returns how many requests await their final responses. */
     int awaitedResponses() {
         int awaited = 0;
@@ -204,6 +223,8 @@
         writingSinceNanos = Long.MAX_VALUE;
         slot.countEnd(slot.end);
         long now = clients.now();
+        receivingUntilNanos = Math.max(receivingUntilNanos,
+            now + (slot.hasLongValue ? STREAM_DELIVERY_NANOS : STALL_TIMEOUT_NANOS));
         if (slot.hasLongValue) {
             deliveringUntilNanos = now + STREAM_DELIVERY_NANOS;
         } else if (slot.response.length > LONG_RESPONSE_BYTES) {
