Hold a long value that has commands behind it, and take none while one is passed on

Cause: a value of over 64 KiB is passed on as it arrives, a reset is the only way to end it early, and commands behind it were run meanwhile.

Change: with commands behind the read, or earlier answers before it, HeldValue first receives the value in reserved memory, for a second and half of the time left at most; a break is then the end of an attempt like any other. A command that comes while a value is passed on is taken when that is through.

Why it works: until the first byte is written the read can get another answer, and after it nothing is at stake behind it.

--- a/proxy/src/main/java/spurroad/protocol/UpstreamReply.java
+++ b/proxy/src/main/java/spurroad/protocol/UpstreamReply.java
@@ -1,5 +1,6 @@
 package spurroad.protocol;
 
+import java.util.Arrays;
 import spurroad.model.CacheStatus;
 import spurroad.model.LoadReport;
 import spurroad.model.Outcome;
@@ -24,7 +25,27 @@
      * @param length the length of the value in bytes
      * @param followedByLineEnd whether CRLF follows the value on the wire
      */
-    public record StreamedBody(long length, boolean followedByLineEnd) {}
+    public record StreamedBody(long length, boolean followedByLineEnd) {
+        /**
+         * Takes the line end after the value out of a source, if one follows; returns false if it has not
+         * arrived yet.
+         *
+         * @throws ProtocolException if other bytes follow
+         */
+        public boolean takeEnd(ByteSource in) throws ProtocolException {
+            if (!followedByLineEnd) {
+                return true;
+            }
+            byte[] lineEnd = MetaResponse.lineEnd();
+            if (in.available() < lineEnd.length) {
+                return false;
+            }
+            if (!Arrays.equals(in.takeBuffered(lineEnd.length), lineEnd)) {
+                throw new ProtocolException("expected CR LF after a value");
+            }
+            return true;
+        }
+    }
 
     /**
      * A long value whose length is known only once it has arrived completely.
--- a/proxy/src/main/java/spurroad/routing/BufferedResponse.java
+++ b/proxy/src/main/java/spurroad/routing/BufferedResponse.java
@@ -28,6 +28,11 @@
         return valueBytes;
     }
 
+    @Override
+    public boolean canBreak() {
+        return false;
+    }
+
     @Override
     public void start(ResponseWriter responseWriter) {
         writer = responseWriter;
@@ -42,19 +47,26 @@
     }
 
     private void writePieces() {
-        while (!pieces.isEmpty() && writer.isReadyForMore()) {
+        if (writeAvailable(writer)) {
+            writer.finishStream(MetaResponse.lineEnd());
+        }
+    }
+
+    /** Writes as much as the client accepts now; returns whether that was all. */
+    boolean writeAvailable(ResponseWriter target) {
+        while (!pieces.isEmpty() && target.isReadyForMore()) {
             ByteBuffer piece = pieces.peek();
-            int count = Math.min(piece.remaining(), writer.windowBytes());
-            writer.writePart(piece.slice(piece.position(), count));
+            int count = Math.min(piece.remaining(), target.windowBytes());
+            target.writePart(piece.slice(piece.position(), count));
             piece.position(piece.position() + count);
             if (!piece.hasRemaining()) {
                 memory.releasePart(pieces.remove().capacity());
             }
         }
-        if (pieces.isEmpty()) {
+        if (pieces.isEmpty() && !ended) {
             end();
-            writer.finishStream(MetaResponse.lineEnd());
         }
+        return pieces.isEmpty();
     }
 
     @Override
--- a/proxy/src/main/java/spurroad/routing/ClientConnection.java
+++ b/proxy/src/main/java/spurroad/routing/ClientConnection.java
@@ -111,9 +111,11 @@
         return state.discardsInput();
     }
 
+    /** No command is taken behind a value that may break off: the connection would be reset over it. */
     @Override
     public boolean canTakeCommand() {
-        return state == ClientConnectionState.OPEN && responses.size() < MAX_PIPELINED_COMMANDS;
+        return state == ClientConnectionState.OPEN && responses.size() < MAX_PIPELINED_COMMANDS
+            && !responses.hasBreakableValue();
     }
 
     @Override
@@ -235,6 +237,11 @@
         return responses.isNext(request);
     }
 
+    /** Returns whether the client has sent more commands after a request, answered or not. */
+    boolean hasCommandsBehind(ProxiedRequest request) {
+        return !responses.isLast(request) || !commands.isBetweenCommands();
+    }
+
     @Override
     public void onDrained() {
         if (responses.onDrained()) {
--- a/proxy/src/main/java/spurroad/routing/EndpointConnection.java
+++ b/proxy/src/main/java/spurroad/routing/EndpointConnection.java
@@ -3,11 +3,9 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
-import java.util.Arrays;
 import spurroad.model.Outcome;
 import spurroad.protocol.ByteSource;
 import spurroad.protocol.MetaCommand;
-import spurroad.protocol.MetaResponse;
 import spurroad.protocol.ProtocolException;
 import spurroad.protocol.UpstreamReply;
 import spurroad.transport.Connection;
@@ -25,11 +23,14 @@
     private static final long REPLY_STALL_NANOS = 300_000_000L;
     /** Maximum pause within a long value while the connection is being read. */
     private static final long STREAM_STALL_NANOS = 2_500_000_000L;
+    /** A long value that has commands behind it is held for this time at most, before it is complete. */
+    private static final long MAX_HOLD_NANOS = 1_000_000_000L;
+    /** Divisor of the time left: the quotient is how long such a value is held at most. */
+    private static final int HOLD_DIVISOR = 2;
     /** Divisor of the time left: the quotient is how long a value waits for memory before it is given up. */
     private static final int MEMORY_WAIT_DIVISOR = 2;
     /** Bytes of a reply that need no reservation: its head, and a value that is read with it. */
     private static final int UNRESERVED_READ_BYTES = 2 * UpstreamProtocol.MAX_INLINE_VALUE_BYTES;
-    private static final byte[] LINE_END = MetaResponse.lineEnd();
 
     private final EndpointConnectionPool pool;
     private final UpstreamProtocol protocol;
@@ -44,6 +45,8 @@
     private boolean reusableAfterStream;
     private IncomingValue incomingValue; // non-null while a value is being received completely
     private long valueStallNanos; // maximum pause within that value
+    private HeldValue heldValue; // the same value as long as it may be forwarded before it is complete
+    private EventLoop.Timer holdTimeout;
     private long memoryDeadlineNanos; // until when the value waits for memory; 0 before it has to
     // the fields below are maintained by the pool
     /** The current attempt; null while idle. */
@@ -146,7 +149,7 @@
         if (closed || streamedResponse == null) {
             return;
         }
-        if (streamedResponse.remaining() == 0) {
+        if (streamedResponse.hasWrittenValue()) {
             finishStream();
         } else {
             boolean wanted = streamedResponse.isWanted();
@@ -162,16 +165,14 @@
     private void finishStream() {
         connection.setMaxReadBytes(UNRESERVED_READ_BYTES);
         connection.setReading(true);
-        if (streamedResponse.isFollowedByLineEnd()) {
-            if (input.available() < LINE_END.length) {
+        try {
+            if (!streamedResponse.body().takeEnd(input)) {
                 updateStreamTimeout(true);
                 return;
             }
-            if (!Arrays.equals(input.takeBuffered(LINE_END.length), LINE_END)) {
-                pool.onMalformedReply("expected CR LF after a value");
-                abort();
-                return;
-            }
+        } catch (ProtocolException malformed) {
+            onReplyFailure(malformed);
+            return;
         }
         StreamedResponse complete = streamedResponse;
         streamedResponse = null;
@@ -235,15 +236,38 @@
             beginValue(new UnsizedValue(pool.replyMemory(), reply), STREAM_STALL_NANOS);
         } else if (reply.streamedBody().length() <= MetaCommand.MAX_BUFFERED_VALUE_BYTES) {
             beginValue(new SizedValue(pool.replyMemory(), reply, attempt.request), REPLY_STALL_NANOS);
+        } else if (attempt.request.hasCommandsBehind() || !attempt.request.isNextResponse()) {
+            hold(new HeldValue(pool.replyMemory(), reply, attempt.request));
         } else {
-            beginStream(reply);
+            beginStream(reply, new StreamedResponse(this, reply.streamedBody()));
+        }
+    }
+
+    /**
+     * Holds a value for a while, until it is complete: if it breaks off after its start was forwarded, the
+     * client's connection has to be reset, and the commands behind it get no response. A value whose turn has
+     * not come loses no time by that.
+     */
+    private void hold(HeldValue value) {
+        heldValue = value;
+        long holdNanos = Math.min(MAX_HOLD_NANOS, (attempt.deadlineNanos - pool.now()) / HOLD_DIVISOR);
+        holdTimeout = pool.loop().schedule(holdNanos, this::forwardHeldValue);
+        beginValue(value, STREAM_STALL_NANOS);
+    }
+
+    private void forwardHeldValue() {
+        HeldValue value = heldValue;
+        if (value != null) {
+            endIncomingValue();
+            beginStream(value.reply(), value.streamedResponse(this));
         }
     }
 
-    private void beginStream(UpstreamReply reply) {
+    private void beginStream(UpstreamReply reply, StreamedResponse response) {
         reusableAfterStream = reply.reusable();
         connection.setReading(false); // until earlier responses to the client are written
-        streamedResponse = new StreamedResponse(this, reply.streamedBody());
+        timeout.cancel();
+        streamedResponse = response;
         attempt.longResponse = streamedResponse;
         pool.onStreamedReply(this, attempt, reply);
     }
@@ -288,7 +312,10 @@
         }
         connection.setReading(false);
         timeout.cancel();
-        timeout = pool.loop().schedule(memoryDeadlineNanos - now, () -> pool.onReplyWithoutMemory(attempt));
+        if (heldValue == null) {
+            timeout = pool.loop().schedule(memoryDeadlineNanos - now,
+                () -> pool.onReplyWithoutMemory(attempt));
+        }
         incomingValue.awaitMemory(this::receiveValue);
     }
 
@@ -296,12 +323,20 @@
         connection.setReading(true); // what completes the value may have been read before a wait for memory
         connection.setMaxReadBytes(UNRESERVED_READ_BYTES);
         UpstreamReply reply = incomingValue.complete(attempt, input.available() == 0);
-        incomingValue = null;
+        endIncomingValue();
         timeout.cancel();
-        memoryDeadlineNanos = 0;
         pool.onReply(this, attempt, reply);
     }
 
+    private void endIncomingValue() {
+        incomingValue = null;
+        memoryDeadlineNanos = 0;
+        if (heldValue != null) {
+            heldValue = null;
+            holdTimeout.cancel();
+        }
+    }
+
     private UpstreamReply parseReply(ByteSource source) throws IOException {
         if (attempt == null || !attempt.fullySent) {
             throw new ProtocolException(UNEXPECTED_REPLY);
@@ -337,7 +372,7 @@
     private void failValue() {
         if (incomingValue != null) {
             incomingValue.release();
-            incomingValue = null;
+            endIncomingValue();
         }
         if (streamedResponse != null) {
             StreamedResponse broken = streamedResponse;
--- a/proxy/src/main/java/spurroad/routing/LongResponse.java
+++ b/proxy/src/main/java/spurroad/routing/LongResponse.java
@@ -11,6 +11,9 @@
     /** Continues after the operating system has accepted everything written to the client. */
     void onDrained();
 
+    /** Returns whether the rest of the value may fail to arrive, or has failed to. */
+    boolean canBreak();
+
     /** Abandons the value because the client disconnected or the request already has its response. */
     void abandon();
 }
--- a/proxy/src/main/java/spurroad/routing/ProxiedRequest.java
+++ b/proxy/src/main/java/spurroad/routing/ProxiedRequest.java
@@ -52,6 +52,13 @@
         return client == null || client.isNextResponse(this);
     }
 
+    /**
+     * Returns whether the client has sent more commands after this request. Called on the event loop only.
+     */
+    boolean hasCommandsBehind() {
+        return client != null && client.hasCommandsBehind(this);
+    }
+
     /**
      * Returns whether no response is awaited any more; checks the client's connection now, if there is one.
      * Called on the event loop only.
--- a/proxy/src/main/java/spurroad/routing/ResponseWriter.java
+++ b/proxy/src/main/java/spurroad/routing/ResponseWriter.java
@@ -85,6 +85,28 @@
         return pending.isEmpty() && writing == null;
     }
 
+    /** Returns whether the response to a request is the last one that is awaited. */
+    boolean isLast(ProxiedRequest request) {
+        return !pending.isEmpty() && pending.peekLast().request == request;
+    }
+
+    /** Returns whether a long value that may break off is being written or waits for its turn. */
+    boolean hasBreakableValue() {
+        if (writing != null && canBreak(writing)) {
+            return true;
+        }
+        for (ResponseSlot slot : pending) {
+            if (canBreak(slot)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
+    private static boolean canBreak(ResponseSlot slot) {
+        return slot.streamed != null && slot.streamed.canBreak();
+    }
+
     /** Returns whether all responses before the one to a request are written. */
     boolean isNext(ProxiedRequest request) {
         return writing == null && !pending.isEmpty() && pending.peek().request == request;
--- a/proxy/src/main/java/spurroad/routing/SizedValue.java
+++ b/proxy/src/main/java/spurroad/routing/SizedValue.java
@@ -5,7 +5,6 @@
 import java.util.Arrays;
 import spurroad.protocol.ByteSource;
 import spurroad.protocol.MetaResponse;
-import spurroad.protocol.ProtocolException;
 import spurroad.protocol.UpstreamReply;
 import spurroad.transport.GrowthBudget;
 
@@ -37,7 +36,8 @@
             allocate();
         }
         in.moveBuffered(message, message.remaining());
-        return !message.hasRemaining() && takeLineEnd(in) ? Progress.COMPLETE : Progress.BYTES_NEEDED;
+        return !message.hasRemaining() && reply.streamedBody().takeEnd(in) ? Progress.COMPLETE
+            : Progress.BYTES_NEEDED;
     }
 
     private void allocate() {
@@ -47,20 +47,6 @@
         message = ByteBuffer.wrap(bytes).position(head.length).limit(messageBytes - LINE_END.length);
     }
 
-    /** Takes the line end after the value, if the protocol has one; returns false if it has not arrived. */
-    private boolean takeLineEnd(ByteSource in) throws ProtocolException {
-        if (!reply.streamedBody().followedByLineEnd()) {
-            return true;
-        }
-        if (in.available() < LINE_END.length) {
-            return false;
-        }
-        if (!Arrays.equals(in.takeBuffered(LINE_END.length), LINE_END)) {
-            throw new ProtocolException("expected CRLF after a value");
-        }
-        return true;
-    }
-
     @Override
     public int freeBytes() {
         return message == null ? 0 : message.remaining() + LINE_END.length;
--- a/proxy/src/main/java/spurroad/routing/StreamedResponse.java
+++ b/proxy/src/main/java/spurroad/routing/StreamedResponse.java
@@ -11,15 +11,24 @@
  */
 final class StreamedResponse implements LongResponse {
     private final EndpointConnection endpointConnection;
-    private final boolean followedByLineEnd;
+    private final UpstreamReply.StreamedBody body;
+    private final BufferedResponse start; // what was received before; null if nothing was
     private long remaining;
     private ResponseWriter writer;
     private boolean ended;
 
-    StreamedResponse(EndpointConnection endpointConnection, UpstreamReply.StreamedBody rest) {
+    /** Creates a response of which nothing has been received. */
+    StreamedResponse(EndpointConnection endpointConnection, UpstreamReply.StreamedBody body) {
+        this(endpointConnection, body, body.length(), null);
+    }
+
+    /** Creates a response whose start has been received, and of which some bytes remain. */
+    StreamedResponse(EndpointConnection endpointConnection, UpstreamReply.StreamedBody body, long remaining,
+                     BufferedResponse start) {
         this.endpointConnection = endpointConnection;
-        remaining = rest.length();
-        followedByLineEnd = rest.followedByLineEnd();
+        this.body = body;
+        this.remaining = remaining;
+        this.start = start;
     }
 
     /** Returns how many bytes of the value are still expected from the endpoint. */
@@ -27,9 +36,9 @@
         return remaining;
     }
 
-    /** Returns whether a line end follows the value on the endpoint's connection. */
-    boolean isFollowedByLineEnd() {
-        return followedByLineEnd;
+    /** Returns the value as the endpoint has announced it. */
+    UpstreamReply.StreamedBody body() {
+        return body;
     }
 
     // ---- called by the client's connection
@@ -52,19 +61,41 @@
         }
     }
 
+    @Override
+    public boolean canBreak() {
+        return true;
+    }
+
     @Override
     public void abandon() {
+        releaseStart();
         if (!ended) {
             ended = true;
             endpointConnection.abandonStream();
         }
     }
 
+    private void releaseStart() {
+        if (start != null) {
+            start.abandon();
+        }
+    }
+
     // ---- called by the endpoint's connection
 
-    /** Returns whether the client accepts more data now. */
+    /** Returns whether the client accepts more data now, after all that was received before. */
     boolean isWanted() {
-        return writer != null && !ended && writer.isReadyForMore();
+        return hasWrittenStart() && writer.isReadyForMore();
+    }
+
+    /** Writes what was received before, as far as the client accepts it; returns whether that was all. */
+    private boolean hasWrittenStart() {
+        return writer != null && !ended && (start == null || start.writeAvailable(writer));
+    }
+
+    /** Returns whether the whole value was written, so that only its end is missing. */
+    boolean hasWrittenValue() {
+        return remaining == 0 && hasWrittenStart();
     }
 
     /** Returns how many bytes may be read from the endpoint at a time. */
@@ -87,6 +118,7 @@
     void onBroken() {
         if (!ended) {
             ended = true;
+            releaseStart();
             if (writer != null) {
                 writer.breakStream();
             }
--- a/proxy/src/main/java/spurroad/routing/ValuePieces.java
+++ b/proxy/src/main/java/spurroad/routing/ValuePieces.java
@@ -3,6 +3,7 @@
 import java.nio.ByteBuffer;
 import java.util.ArrayDeque;
 import java.util.Deque;
+import java.util.function.BooleanSupplier;
 import spurroad.transport.GrowthBudget;
 
 /**
@@ -25,7 +26,12 @@
      * @param maxBytes length of the longest value that the pieces may have to hold
      */
     ValuePieces(GrowthBudget budget, int maxBytes) {
-        memory = budget.open(maxBytes);
+        this(budget, maxBytes, () -> true);
+    }
+
+    /** Does the same for a value whose memory is urgent only while a condition holds. */
+    ValuePieces(GrowthBudget budget, int maxBytes, BooleanSupplier urgency) {
+        memory = budget.open(maxBytes, urgency);
         this.maxBytes = maxBytes;
     }
 
@@ -59,7 +65,7 @@
         return Math.min(proportionate, maxBytes - held);
     }
 
-    /** Notes that the value is complete; returns its pieces, from the start to the limit of each. */
+    /** Notes that the pieces get no more bytes; returns its pieces, from the start to the limit of each. */
     Deque<ByteBuffer> complete() {
         pieces.forEach(ByteBuffer::flip);
         memory.complete();
--- a/proxy/src/main/java/spurroad/transport/GrowthBudget.java
+++ b/proxy/src/main/java/spurroad/transport/GrowthBudget.java
@@ -59,8 +59,9 @@
             return heldBytes;
         }
 
-        /** Notes that the value is complete: the reservation will not grow any more. */
+        /** Notes that the reservation will not grow any more, even if it waits for that. */
         public void complete() {
+            waiting.remove(this);
             unheldBytes -= remaining();
             maxBytes = heldBytes;
             scheduleGrowth();
--- a/proxy/src/test/java/spurroad/program/LongValueTest.java
+++ b/proxy/src/test/java/spurroad/program/LongValueTest.java
@@ -6,14 +6,12 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.InetAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Random;
 import java.util.concurrent.CountDownLatch;
-import java.util.concurrent.atomic.AtomicLong;
 import org.testng.annotations.DataProvider;
 import org.testng.annotations.Test;
 import spurroad.fixture.ScriptedPeers;
@@ -28,51 +26,6 @@
 public class LongValueTest {
     private static final int LONG_BYTES = 4 * 1024 * 1024;
 
-    private interface Script {
-        void answer(Socket s, String id) throws Exception;
-    }
-
-    /** A cache node whose responses a script writes. */
-    private static final class Node implements AutoCloseable {
-        private final ServerSocket server = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
-        private final AtomicLong writtenBytes = new AtomicLong();
-        private final CountDownLatch ended = new CountDownLatch(1);
-
-        private Node(Script script) throws IOException {
-            ScriptedPeers.daemon(() -> {
-                while (true) {
-                    Socket s = server.accept();
-                    ScriptedPeers.daemon(() -> serve(s, script));
-                }
-            });
-        }
-
-        private void serve(Socket s, Script script) throws Exception {
-            ByteSource in = new ByteSource(s.getInputStream());
-            for (String line = in.readLine(9000); line != null; line = in.readLine(9000)) {
-                if (line.startsWith("mg")) {
-                    try {
-                        script.answer(s, line.replaceFirst(".* O(\\S+).*", "$1"));
-                    } finally {
-                        ended.countDown();
-                    }
-                } else {
-                    s.getOutputStream().write("STAT inflight 0\r\nEND\r\n".getBytes());
-                }
-            }
-        }
-
-        private void writeRange(Socket s, byte[] bytes, int from, int to) throws IOException {
-            s.getOutputStream().write(bytes, from, to - from);
-            writtenBytes.addAndGet(to - from);
-        }
-
-        @Override
-        public void close() throws IOException {
-            server.close();
-        }
-    }
-
     private static byte[] value(int length) {
         byte[] value = new byte[length];
         new Random(length).nextBytes(value);
@@ -98,8 +51,8 @@
     public void forwardsValueUnchangedWhateverItsSegments(int length) throws Exception {
         byte[] value = value(length);
         Random random = new Random(3);
-        Node[] holder = new Node[1];
-        try (Node node = holder[0] = new Node((s, id) -> {
+        ScriptedNode[] holder = new ScriptedNode[1];
+        try (ScriptedNode node = holder[0] = new ScriptedNode((s, id) -> {
             byte[] whole = concat(line("VA " + length + " O" + id + " h1\r\n"), value, line("\r\n"));
             for (int at = 0; at < whole.length;) {
                 int to = Math.min(whole.length, at + 1 + random.nextInt(100_000));
@@ -107,7 +60,7 @@
                 Thread.sleep(random.nextInt(3));
                 at = to;
             }
-        }); Client c = new Client(proxy(node.server.getLocalPort(), 1).port())) {
+        }); Client c = new Client(proxy(node.port(), 1).port())) {
             for (int i = 0; i < 2; i++) {
                 assertEquals(c.say(RunningProxy.READ).line(), "VA " + length + " O1");
                 byte[] received = new byte[length];
@@ -137,15 +90,15 @@
     public void forwardsFirstBytesBeforeRestArrives() throws Exception {
         CountDownLatch firstBytesRead = new CountDownLatch(1);
         byte[] value = value(LONG_BYTES);
-        Node[] holder = new Node[1];
-        try (Node node = holder[0] = new Node((s, id) -> {
+        ScriptedNode[] holder = new ScriptedNode[1];
+        try (ScriptedNode node = holder[0] = new ScriptedNode((s, id) -> {
             holder[0].writeRange(s, line("VA " + LONG_BYTES + " O" + id + "\r\n"), 0,
                 ("VA " + LONG_BYTES + " O" + id + "\r\n").length());
             holder[0].writeRange(s, value, 0, 100);
             firstBytesRead.await();
             holder[0].writeRange(s, value, 100, LONG_BYTES);
             s.getOutputStream().write(line("\r\n"));
-        }); Client c = new Client(proxy(node.server.getLocalPort(), 1).port())) {
+        }); Client c = new Client(proxy(node.port(), 1).port())) {
             assertEquals(c.say(RunningProxy.READ).line(), "VA " + LONG_BYTES + " O1");
             byte[] received = new byte[LONG_BYTES];
             c.in.readFully(received, 0, 100);
@@ -163,8 +116,8 @@
     @Test(dataProvider = "faults")
     public void abortsResponseWhoseValueIsIncomplete(String fault) throws Exception {
         byte[] value = value(LONG_BYTES);
-        Node[] holder = new Node[1];
-        try (Node node = holder[0] = new Node((s, id) -> {
+        ScriptedNode[] holder = new ScriptedNode[1];
+        try (ScriptedNode node = holder[0] = new ScriptedNode((s, id) -> {
             s.getOutputStream().write(line("VA " + LONG_BYTES + " O" + id + "\r\n"));
             holder[0].writeRange(s, value, 0, fault.startsWith("spoils") ? LONG_BYTES : LONG_BYTES / 2);
             if (fault.startsWith("breaks")) {
@@ -173,7 +126,7 @@
                 s.getOutputStream().write(line("xy"));
             }
         })) {
-            ProxyService s = proxy(node.server.getLocalPort(), 1);
+            ProxyService s = proxy(node.port(), 1);
             try (Client c = new Client(s.port())) {
                 assertEquals(c.say(RunningProxy.READ).line(), "VA " + LONG_BYTES + " O1");
                 long received = 0;
@@ -200,8 +153,8 @@
     @Test
     public void slowClientDelaysItsNodeButNotTheProxy() throws Exception {
         byte[] value = value(LONG_BYTES);
-        Node[] holder = new Node[1];
-        try (Node node = holder[0] = new Node((s, id) -> {
+        ScriptedNode[] holder = new ScriptedNode[1];
+        try (ScriptedNode node = holder[0] = new ScriptedNode((s, id) -> {
             s.setSendBufferSize(64 * 1024);
             s.getOutputStream().write(line("VA " + LONG_BYTES + " O" + id + "\r\n"));
             for (int at = 0; at < LONG_BYTES; at += 65_536) {
@@ -209,7 +162,7 @@
             }
             s.getOutputStream().write(line("\r\n"));
         })) {
-            ProxyService s = proxy(node.server.getLocalPort(), 1);
+            ProxyService s = proxy(node.port(), 1);
             List<Socket> slow = new ArrayList<>();
             for (int i = 0; i < 20; i++) {
                 Socket c = new Socket();
