Hold back a connection whose commands take the processor time of others

Cause: commands that the proxy answers itself follow each other as fast as they are sent, and admission refuses without regard to who asks the most.

A log line names the connection, `client events` counts it. The warm-up is exempt.

The cost of the ordinary path was not measured.

--- a/proxy/src/main/java/spurroad/program/WarmUp.java
+++ b/proxy/src/main/java/spurroad/program/WarmUp.java
@@ -58,6 +58,7 @@
             0);
         ClientConnections clients = new ClientConnections(configuration, loop, log, loadBalancer,
             MAX_CONNECTIONS);
+        clients.allowAnyRate();
         loadBalancer.setDiscoveryPoller(() -> {});
         loadBalancer.onEndpointUpdate(new EndpointList(1, true, endpoints()));
         threads.start(BALANCER_THREAD, loadBalancer);
--- a/proxy/src/main/java/spurroad/routing/AdmissionController.java
+++ b/proxy/src/main/java/spurroad/routing/AdmissionController.java
@@ -90,6 +90,11 @@
         return busyResponse;
     }
 
+    /** Returns whether this proxy itself lacks capacity, so that not all requests are admitted. */
+    boolean lacksCapacity() {
+        return policy.admittedFraction() < 1 || policy.level() != ServiceLevel.FULL;
+    }
+
     /**
      * Returns whether a request is admitted. The class and tenant are given by number; the tenant is -1 if it
      * is unknown.
--- a/proxy/src/main/java/spurroad/routing/ClientConnection.java
+++ b/proxy/src/main/java/spurroad/routing/ClientConnection.java
@@ -38,8 +38,10 @@
     private final ClientActivity activity;
     private final CommandReader commands;
     private final ResponseWriter responses;
+    private final CommandRateLimiter rate = new CommandRateLimiter();
     private ClientConnectionState state = ClientConnectionState.OPEN;
     private int discardedBytes;
+    private boolean heldBack; // until the rate of its commands allows another
 
     ClientConnection(ClientConnections clients, Connection connection, boolean guest) {
         this.clients = clients;
@@ -114,7 +116,7 @@
     /** No command is taken behind a value that may break off: the connection would be reset over it. */
     @Override
     public boolean canTakeCommand() {
-        return state == ClientConnectionState.OPEN && responses.size() < MAX_PIPELINED_COMMANDS
+        return state == ClientConnectionState.OPEN && !heldBack && responses.size() < MAX_PIPELINED_COMMANDS
             && !responses.hasBreakableValue();
     }
 
@@ -141,9 +143,36 @@
             case READY -> MetaResponse.ready();
             default -> onRequest(slot, command, arrivedAtNanos);
         };
+        limitRate(slot.response != null);
         responses.flush();
     }
 
+    /**
+     * Holds back a client whose commands would take the processor time of others: commands that are answered
+     * at once follow each other as fast as they are sent.
+     */
+    private void limitRate(boolean answeredAtOnce) {
+        long now = clients.now();
+        boolean counts = answeredAtOnce || clients.admission.lacksCapacity();
+        if (!counts || !clients.limitsRates()) {
+            return;
+        }
+        rate.onCommand(now);
+        if (!heldBack && rate.isExhausted(now)) {
+            heldBack = true;
+            clients.log.warn("client sends commands too fast, held back", this);
+            clients.events.onHeldBack();
+            clients.loop.schedule(rate.pauseNanos(now), this::resumeHeldBack);
+        }
+    }
+
+    private void resumeHeldBack() {
+        heldBack = false;
+        if (!isClosed()) {
+            commands.processCommands();
+        }
+    }
+
     @Override
     public void onUploadGivenUp(MetaCommand command) {
         ResponseSlot slot = responses.append();
--- a/proxy/src/main/java/spurroad/routing/ClientConnections.java
+++ b/proxy/src/main/java/spurroad/routing/ClientConnections.java
@@ -66,6 +66,7 @@
     private Map<String, Integer> requestClassNumbers; // by class name
     private Map<String, Integer> tenantNumbers; // by tenant name
     private volatile int count; // number of connections, for other threads
+    private boolean limitsRates = true;
     private volatile boolean handingOver;
     private volatile boolean shuttingDown;
     private volatile long configuredTimeoutNanos; // written on the loop
@@ -124,8 +125,18 @@
         });
     }
 
+    /** Lets clients send commands at any rate; must be called before any client is accepted. */
+    public void allowAnyRate() {
+        limitsRates = false;
+    }
+
     // ---- for the connections
 
+    /** Returns whether the rate of a client's commands is limited. */
+    boolean limitsRates() {
+        return limitsRates;
+    }
+
     long now() {
         return loop.now();
     }
--- a/proxy/src/main/java/spurroad/routing/ClientEventCounters.java
+++ b/proxy/src/main/java/spurroad/routing/ClientEventCounters.java
@@ -14,6 +14,7 @@
     private final EventLog log;
     private final Map<CloseReason, Integer> closed = new EnumMap<>(CloseReason.class);
     private final Map<RejectionReason, Integer> rejected = new EnumMap<>(RejectionReason.class);
+    private int heldBack; // times that a client was held back
     private long loggedAtNanos;
 
     ClientEventCounters(EventLog log, long now) {
@@ -29,16 +30,22 @@
         rejected.merge(reason, 1, Integer::sum);
     }
 
+    /** Counts a client that is held back because it sends commands too fast. */
+    void onHeldBack() {
+        heldBack++;
+    }
+
     /** Logs the counts and resets them if the log interval has passed. Called periodically. */
     void logIfDue(long now) {
         if (now - loggedAtNanos < LOG_INTERVAL_NANOS) {
             return;
         }
         loggedAtNanos = now;
-        if (!closed.isEmpty() || !rejected.isEmpty()) {
-            log.info("client events", "closed=" + closed + " rejected=" + rejected);
+        if (!closed.isEmpty() || !rejected.isEmpty() || heldBack > 0) {
+            log.info("client events", "closed=" + closed + " rejected=" + rejected + " heldBack=" + heldBack);
             closed.clear();
             rejected.clear();
+            heldBack = 0;
         }
     }
 }
