Set the limit of a pause within a reply anew with each read

Cause: the limit was set when the reply was parsed, and a reply of known length is not parsed again before it is whole.

Change: it is set after each read that leaves a reply incomplete.

--- a/proxy/src/main/java/spurroad/routing/EndpointConnection.java
+++ b/proxy/src/main/java/spurroad/routing/EndpointConnection.java
@@ -212,8 +212,7 @@
             try {
                 UpstreamReply reply = input.readMessage(parser);
                 if (reply == null) {
-                    scheduleReplyTimeout();
-                    return;
+                    break;
                 }
                 timeout.cancel();
                 if (hasFurtherBody(reply)) {
@@ -225,6 +224,9 @@
                 onReplyFailure(failure);
             }
         }
+        if (!closed && input.available() > 0) {
+            scheduleReplyTimeout(); // anew with each read, whether or not the message is worth parsing yet
+        }
     }
 
     private static boolean hasFurtherBody(UpstreamReply reply) {
