--- a/proxy/src/main/java/spurroad/routing/EndpointConnection.java
+++ b/proxy/src/main/java/spurroad/routing/EndpointConnection.java
@@ -23,18 +23,13 @@
     private static final long REPLY_STALL_NANOS = 300_000_000L;
     /** Maximum pause within a long value while the connection is being read. */
     private static final long STREAM_STALL_NANOS = 2_500_000_000L;
-    /** A long value that has commands behind it is held for this time at most, before it is complete. */
-    private static final long MAX_HOLD_NANOS = 1_000_000_000L;
-    /** Divisor of the time left: the quotient is how long such a value is held at most. */
-    private static final int HOLD_DIVISOR = 2;
-    /** Divisor of the time left: the quotient is how long a value waits for memory before it is given up. */
-    private static final int MEMORY_WAIT_DIVISOR = 2;
     /** Bytes of a reply that need no reservation: its head, and a value that is read with it. */
     private static final int UNRESERVED_READ_BYTES = 2 * UpstreamProtocol.MAX_INLINE_VALUE_BYTES;
 
     private final EndpointConnectionPool pool;
     private final UpstreamProtocol protocol;
     private final ByteSource input = new ByteSource();
+    private final ValueReceiver values;
     private final ByteSource.Parser<UpstreamReply> parser = this::parseReply;
     /** The incarnation of the endpoint to which the connection was opened. */
     final int incarnation;
@@ -43,11 +38,6 @@
     private long readAtNanos;
     private StreamedResponse streamedResponse; // non-null while a long value is passed to a client
     private boolean reusableAfterStream;
-    private IncomingValue incomingValue; // non-null while a value is being received completely
-    private long valueStallNanos; // maximum pause within that value
-    private HeldValue heldValue; // the same value as long as it may be forwarded before it is complete
-    private EventLoop.Timer holdTimeout;
-    private long memoryDeadlineNanos; // until when the value waits for memory; 0 before it has to
     // the fields below are maintained by the pool
     /** The current attempt; null while idle. */
     UpstreamRequest attempt;
@@ -60,6 +50,7 @@
         this.protocol = protocol;
         this.incarnation = incarnation;
         attempt = first;
+        values = new ValueReceiver(this, pool, input);
     }
 
     /** Starts to connect; the attempt is sent once the connection is established. */
@@ -184,15 +175,10 @@
     private void updateStreamTimeout(boolean reading) {
         timeout.cancel();
         if (reading) {
-            scheduleStallTimeout(STREAM_STALL_NANOS);
+            timeout = pool.loop().schedule(STREAM_STALL_NANOS, this::abort);
         }
     }
 
-    private void scheduleStallTimeout(long stallNanos) {
-        timeout.cancel();
-        timeout = pool.loop().schedule(stallNanos, this::abort);
-    }
-
     /** Closes the connection because no client reads its value any more. */
     void abandonStream() {
         streamedResponse = null;
@@ -204,8 +190,8 @@
             stream();
             return;
         }
-        if (incomingValue != null) {
-            receiveValue();
+        if (values.isActive()) {
+            values.receive();
             return;
         }
         while (!closed && input.mayHaveMessage()) {
@@ -235,37 +221,18 @@
 
     private void beginBody(UpstreamReply reply) {
         if (reply.unsizedBody() != null) {
-            beginValue(new UnsizedValue(pool.replyMemory(), reply), STREAM_STALL_NANOS);
+            values.begin(new UnsizedValue(pool.replyMemory(), reply), STREAM_STALL_NANOS);
         } else if (reply.streamedBody().length() <= MetaCommand.MAX_BUFFERED_VALUE_BYTES) {
-            beginValue(new SizedValue(pool.replyMemory(), reply, attempt.request), REPLY_STALL_NANOS);
+            values.begin(new SizedValue(pool.replyMemory(), reply, attempt.request), REPLY_STALL_NANOS);
         } else if (attempt.request.hasCommandsBehind() || !attempt.request.isNextResponse()) {
-            hold(new HeldValue(pool.replyMemory(), reply, attempt.request));
+            values.hold(new HeldValue(pool.replyMemory(), reply, attempt.request), STREAM_STALL_NANOS);
         } else {
             beginStream(reply, new StreamedResponse(this, reply.streamedBody()));
         }
     }
 
-    /**
-     * Holds a value for a while, until it is complete: if it breaks off after its start was forwarded, the
-     * client's connection has to be reset, and the commands behind it get no response. A value whose turn has
-     * not come loses no time by that.
-     */
-    private void hold(HeldValue value) {
-        heldValue = value;
-        long holdNanos = Math.min(MAX_HOLD_NANOS, (attempt.deadlineNanos - pool.now()) / HOLD_DIVISOR);
-        holdTimeout = pool.loop().schedule(holdNanos, this::forwardHeldValue);
-        beginValue(value, STREAM_STALL_NANOS);
-    }
-
-    private void forwardHeldValue() {
-        HeldValue value = heldValue;
-        if (value != null) {
-            endIncomingValue();
-            beginStream(value.reply(), value.streamedResponse(this));
-        }
-    }
-
-    private void beginStream(UpstreamReply reply, StreamedResponse response) {
+    /** Starts to forward the long value of a reply as it arrives, and ends the attempt. */
+    void beginStream(UpstreamReply reply, StreamedResponse response) {
         reusableAfterStream = reply.reusable();
         connection.setReading(false); // until earlier responses to the client are written
         timeout.cancel();
@@ -274,71 +241,31 @@
         pool.onStreamedReply(this, attempt, reply);
     }
 
-    private void onReplyFailure(IOException failure) {
+    /** Handles a malformed or incomplete reply. */
+    void onReplyFailure(IOException failure) {
         if (failure instanceof ProtocolException) {
             pool.onMalformedReply(failure.getMessage());
         }
         abort();
     }
 
-    // ---- values that are received completely
+    // ---- for the receiver of values
 
-    private void beginValue(IncomingValue value, long stallNanos) {
-        incomingValue = value;
-        valueStallNanos = stallNanos;
-        receiveValue();
-    }
-
-    /** Takes what has arrived of the value; reads on only while there is memory for it. */
-    private void receiveValue() {
-        try {
-            switch (incomingValue.receive(input)) {
-                case COMPLETE -> completeValue();
-                case BYTES_NEEDED -> {
-                    connection.setMaxReadBytes(Math.max(incomingValue.freeBytes(), UNRESERVED_READ_BYTES));
-                    connection.setReading(true);
-                    scheduleStallTimeout(valueStallNanos);
-                }
-                case MEMORY_NEEDED -> awaitMemory();
-            }
-        } catch (IOException failure) {
-            onReplyFailure(failure);
-        }
+    /** Reads on, as many bytes at a time as there is memory for. */
+    void resumeReading(int reservedBytes) {
+        connection.setMaxReadBytes(Math.max(reservedBytes, UNRESERVED_READ_BYTES));
+        connection.setReading(true);
     }
 
-    /** Leaves the rest of the value in the socket until there is memory for it, or time runs short. */
-    private void awaitMemory() {
-        long now = pool.now();
-        if (memoryDeadlineNanos == 0) {
-            memoryDeadlineNanos = now + (attempt.deadlineNanos - now) / MEMORY_WAIT_DIVISOR;
-        }
+    void pauseReading() {
         connection.setReading(false);
-        timeout.cancel();
-        if (heldValue == null) {
-            timeout = pool.loop().schedule(memoryDeadlineNanos - now,
-                () -> pool.onReplyWithoutMemory(attempt));
-        }
-        incomingValue.awaitMemory(this::receiveValue);
     }
 
-    private void completeValue() {
-        connection.setReading(true); // what completes the value may have been read before a wait for memory
-        connection.setMaxReadBytes(UNRESERVED_READ_BYTES);
-        UpstreamReply reply = incomingValue.complete(attempt, input.available() == 0);
-        endIncomingValue();
-        timeout.cancel();
+    /** Handles the complete reply with its value. */
+    void onValueComplete(UpstreamReply reply) {
         pool.onReply(this, attempt, reply);
     }
 
-    private void endIncomingValue() {
-        incomingValue = null;
-        memoryDeadlineNanos = 0;
-        if (heldValue != null) {
-            heldValue = null;
-            holdTimeout.cancel();
-        }
-    }
-
     private UpstreamReply parseReply(ByteSource source) throws IOException {
         if (attempt == null || !attempt.fullySent) {
             throw new ProtocolException(UNEXPECTED_REPLY);
@@ -372,10 +299,7 @@
 
     /** Ends the long value that was being received, if there is one. */
     private void failValue() {
-        if (incomingValue != null) {
-            incomingValue.release();
-            endIncomingValue();
-        }
+        values.release();
         if (streamedResponse != null) {
             StreamedResponse broken = streamedResponse;
             streamedResponse = null;
@@ -401,7 +325,7 @@
     }
 
     /** Closes the connection and reports its loss, which ends its attempt, if any. */
-    private void abort() {
+    void abort() {
         timeout.cancel();
         connection.close();
         pool.onConnectionLost(this);
