--- a/proxy/src/main/java/spurroad/routing/ClientConnection.java
+++ b/proxy/src/main/java/spurroad/routing/ClientConnection.java
@@ -1,12 +1,10 @@
 package spurroad.routing;
 
 import java.nio.ByteBuffer;
-import spurroad.admission.EvictionPriority;
 import spurroad.protocol.MetaCommand;
 import spurroad.protocol.MetaResponse;
 import spurroad.transport.Connection;
 import spurroad.transport.GrowthBudget;
-import spurroad.transport.UnacknowledgedSends;
 
 /**
  * Connection of a client. Answers its commands or admits them as requests, and closes the connection if its
@@ -39,6 +37,7 @@
     private final CommandReader commands;
     private final ResponseWriter responses;
     private final CommandRateLimiter rate = new CommandRateLimiter();
+    private final ClientInactivity inactivity;
     private ClientConnectionState state = ClientConnectionState.OPEN;
     private int discardedBytes;
     private boolean heldBack; // until the rate of its commands allows another
@@ -50,6 +49,7 @@
         responses = new ResponseWriter(this, clients, connection);
         activity = new ClientActivity(guest, clients.now());
         commands = new CommandReader(this, clients, connection, activity);
+        inactivity = new ClientInactivity(this, clients, connection, commands, responses, activity);
     }
 
     @Override
@@ -68,6 +68,11 @@
         return commands;
     }
 
+    /** Returns what closes the connection if its client is inactive. */
+    ClientInactivity inactivity() {
+        return inactivity;
+    }
+
     /** Returns whether this connection has no descriptor of its own. */
     boolean isGuest() {
         return guest;
@@ -197,7 +202,7 @@
     }
 
     /** Sends an error as the last response, as the end of the malformed input can't be found. */
-    private void sendLastResponse(String fault) {
+    void sendLastResponse(String fault) {
         ResponseSlot slot = responses.append();
         slot.response = rejectMalformedInput(slot, fault);
         responses.flush();
@@ -288,7 +293,7 @@
         } else if (clients.isHandingOver()) {
             // delayed, as a client that sends its next command on each response would cross the close
             clients.loop.schedule(NEXT_COMMAND_NANOS, () -> {
-                if (!isClosed() && lastActivityNanos() <= clients.now() - NEXT_COMMAND_NANOS) {
+                if (!isClosed() && activity.lastActivityNanos() <= clients.now() - NEXT_COMMAND_NANOS) {
                     closeBetweenCommands();
                 }
             });
@@ -304,7 +309,8 @@
 
     // ---- closing
 
-    private void closeBetweenCommands() {
+    /** Closes in order if no command is incomplete or awaits its response, unless input arrives. */
+    void closeBetweenCommands() {
         if (!isBetweenCommands()) {
             return;
         }
@@ -328,7 +334,8 @@
         clients.loop.schedule(LINGER_NANOS, () -> close(CloseReason.AFTER_LAST_ANSWER));
     }
 
-    private void close(CloseReason reason) {
+    /** Closes the connection and abandons its requests; does nothing the second time. */
+    void close(CloseReason reason) {
         if (isClosed()) {
             return;
         }
@@ -341,120 +348,8 @@
         clients.onClosed(this);
     }
 
-    private boolean isBetweenCommands() {
+    /** Returns whether no command is incomplete or awaits its response. */
+    boolean isBetweenCommands() {
         return responses.isIdle() && commands.isBetweenCommands() && !state.discardsInput();
     }
-
-    /** Returns the time of the last activity on the connection, in Unix nanoseconds. */
-    long lastActivityNanos() {
-        return activity.lastActivityNanos();
-    }
-
-    /**
-     * Returns whether the connection is idle between two commands. A connection that was just opened is not:
-     * its first command is on its way, and the client does not send it again. Nor is a connection whose
-     * client may still be receiving responses: a reset drops what the operating system has not sent yet.
-     */
-    private boolean isIdle() {
-        long now = clients.now();
-        return isBetweenCommands() && !responses.mayHaveUndelivered(now) && activity.isIdle(now);
-    }
-
-    /** Returns whether the connection could be closed as idle if its responses were delivered. */
-    boolean awaitsDelivery(long now) {
-        return responses.mayHaveUndelivered(now) && isBetweenCommands() && activity.isIdle(now);
-    }
-
-    /** Notes that the responses are delivered, if the given state shows it. */
-    void confirmDelivery(UnacknowledgedSends sends) {
-        if (!connection.hasUnacknowledgedBytes(sends)) {
-            responses.onDelivered();
-        }
-    }
-
-    /** Returns whether the connection has been idle for so long that it should be closed. */
-    boolean isIdleTimeoutExpired(boolean crowded) {
-        return activity.isIdleTimeoutExpired(clients.now(), crowded);
-    }
-
-    /**
-     * Closes the connection if it is idle between two commands, unless a command has just arrived. It is
-     * closed by a reset, because a command may still be on its way, which the client then sends again; after
-     * an orderly close the client would assume that the command was received, and the command would be lost.
-     */
-    void closeIfIdle() {
-        if (isIdle()) {
-            resetUnlessInputPending(CloseReason.IDLE);
-        }
-    }
-
-    /** Closes the connection as {@link #closeIfIdle} does, and in order if a reset could drop responses. */
-    void endIfIdle() {
-        if (awaitsDelivery(clients.now())) {
-            closeBetweenCommands();
-        } else {
-            closeIfIdle();
-        }
-    }
-
-    private EvictionPriority evictionPriority() {
-        if (!responses.isIdle() || state.discardsInput() || commands.isUploadWaitingForMemory()
-            || responses.mayHaveUndelivered(clients.now())) {
-            return EvictionPriority.REQUEST_IN_FLIGHT;
-        }
-        if (!commands.isBetweenCommands()) {
-            return EvictionPriority.PARTIAL_REQUEST;
-        }
-        return activity.hasResponded() ? EvictionPriority.IDLE : EvictionPriority.NEVER_USED;
-    }
-
-    /** Returns how overdue the connection is for eviction, as {@link EvictionPriority} defines it. */
-    double overdue() {
-        return evictionPriority().overdue(clients.now() - lastActivityNanos());
-    }
-
-    /** Closes the connection by a reset, unless unread input has arrived. */
-    void resetUnlessInputPending(CloseReason reason) {
-        if (!connection.readAvailable()) {
-            connection.reset();
-            close(reason);
-        }
-    }
-
-    /** Closes the connection if the client reads its responses too slowly for the memory that they hold. */
-    void closeIfSlow() {
-        if (responses.isTooSlowUnderPressure(clients.now())) {
-            close(CloseReason.TAKES_NO_ANSWERS);
-        }
-    }
-
-    /**
-     * Closes the connection if the client reads no responses, has stalled within a command, or is idle.
-     * Called periodically.
-     */
-    void closeIfInactive(boolean crowded) {
-        long now = clients.now();
-        responses.checkProgress(now);
-        if (activity.isCommandStalled(now, commands.isReceivingUpload())) {
-            endIncompleteCommand();
-        } else if (responses.isStalled(now)) {
-            close(CloseReason.TAKES_NO_ANSWERS);
-        } else if (activity.isIdleTimeoutExpired(now, crowded)) {
-            closeIfIdle();
-        }
-    }
-
-    /**
-     * Ends an incomplete command whose rest is overdue. The command was never processed, but requests before
-     * it were and still get their responses.
-     */
-    private void endIncompleteCommand() {
-        if (responses.isIdle()) {
-            close(CloseReason.UNFINISHED_COMMAND);
-        } else {
-            activity.onNoPartialCommand();
-            commands.abortUpload();
-            sendLastResponse("CLIENT_ERROR command not finished in time");
-        }
-    }
 }
--- a/proxy/src/main/java/spurroad/routing/ClientConnections.java
+++ b/proxy/src/main/java/spurroad/routing/ClientConnections.java
@@ -194,7 +194,7 @@
         requestMemory.forceReserve(bytes);
         if (requestMemory.isOverdrawn()) {
             log.warn("responses exceed the memory budget", "connections=" + connections.size());
-            List.copyOf(connections).forEach(ClientConnection::closeIfSlow);
+            List.copyOf(connections).forEach(connection -> connection.inactivity().closeIfSlow());
         }
     }
 
@@ -229,13 +229,14 @@
     public void onPermitsExhausted() {
         log.warn("no descriptor left for clients", "connections=" + connections.size());
         deliveryCheck.run(connections);
-        List<Candidate> candidates = connections.stream().map(c -> new Candidate(c, c.overdue()))
+        List<Candidate> candidates = connections.stream().map(c -> new Candidate(c, c.inactivity().overdue()))
             .filter(candidate -> candidate.overdue >= 1)
             .sorted(Comparator.comparingDouble(Candidate::overdue).reversed())
             .limit(CLOSED_PER_PERMIT_SHORTAGE)
             .toList();
         candidates
-            .forEach(candidate -> candidate.connection.resetUnlessInputPending(CloseReason.PLACE_NEEDED));
+            .forEach(candidate -> candidate.connection.inactivity()
+                .resetUnlessInputPending(CloseReason.PLACE_NEEDED));
         if (candidates.isEmpty()) {
             loadBalancer.onDescriptorShortage();
         }
@@ -248,8 +249,9 @@
      */
     private void closeInactive() {
         boolean crowded = CROWDED_DIVISOR * connections.size() > maxConnections;
-        deliveryCheck.run(connections.stream().filter(c -> c.isIdleTimeoutExpired(crowded)).toList());
-        List.copyOf(connections).forEach(connection -> connection.closeIfInactive(crowded));
+        deliveryCheck.run(connections.stream()
+            .filter(connection -> connection.inactivity().isIdleTimeoutExpired(crowded)).toList());
+        List.copyOf(connections).forEach(connection -> connection.inactivity().closeIfInactive(crowded));
         events.logIfDue(now());
         if (!shuttingDown || !connections.isEmpty()) {
             loop.schedule(INACTIVITY_CHECK_INTERVAL_NANOS, this::closeInactive);
@@ -277,10 +279,10 @@
 
     private void closeQuietConnections() {
         deliveryCheck.run(connections);
-        List.copyOf(connections).stream()
-            .filter(connection -> now() - connection.lastActivityNanos() > QUIET_AFTER_NANOS
-                && connection.overdue() >= 1)
-            .forEach(connection -> connection.resetUnlessInputPending(CloseReason.IDLE));
+        connections.stream().map(ClientConnection::inactivity)
+            .filter(client -> now() - client.lastActivityNanos() > QUIET_AFTER_NANOS && client.overdue() >= 1)
+            .toList()
+            .forEach(client -> client.resetUnlessInputPending(CloseReason.IDLE));
         if (!connections.isEmpty()) {
             loop.schedule(INACTIVITY_CHECK_INTERVAL_NANOS, this::closeQuietConnections);
         }
@@ -289,7 +291,8 @@
     /** Starts closing connections between two commands; responses are written first. */
     public void end() {
         shuttingDown = true;
-        loop.execute(() -> List.copyOf(connections).forEach(ClientConnection::endIfIdle));
+        loop.execute(
+            () -> List.copyOf(connections).forEach(connection -> connection.inactivity().endIfIdle()));
     }
 
     /** Ensures that all requests, current and future, are answered within this time from now. */
--- a/proxy/src/main/java/spurroad/routing/DeliveryCheck.java
+++ b/proxy/src/main/java/spurroad/routing/DeliveryCheck.java
@@ -26,11 +26,12 @@
         if (now - checkedAtNanos < MIN_INTERVAL_NANOS) {
             return;
         }
-        List<ClientConnection> waiting = connections.stream().filter(c -> c.awaitsDelivery(now)).toList();
+        List<ClientInactivity> waiting = connections.stream().map(ClientConnection::inactivity)
+            .filter(client -> client.awaitsDelivery(now)).toList();
         if (!waiting.isEmpty()) {
             checkedAtNanos = now;
             UnacknowledgedSends.read()
-                .ifPresent(sends -> waiting.forEach(connection -> connection.confirmDelivery(sends)));
+                .ifPresent(sends -> waiting.forEach(client -> client.confirmDelivery(sends)));
         }
     }
 }
--- a/proxy/src/main/java/spurroad/transport/Connection.java
+++ b/proxy/src/main/java/spurroad/transport/Connection.java
@@ -2,7 +2,6 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.net.Socket;
 import java.nio.ByteBuffer;
 import java.nio.channels.ReadableByteChannel;
 import java.nio.channels.SelectableChannel;
@@ -247,8 +246,7 @@
                 writeQueue.writeDirectly(bytes);
             }
         } catch (IOException e) {
-            fail();
-            return;
+            fail(); // what follows has no effect
         }
         if (bytes.hasRemaining()) {
             byte[] remaining = new byte[bytes.remaining()];
@@ -284,26 +282,14 @@
         return writeQueue.isEmpty();
     }
 
-    /**
-     * Returns whether written bytes may not have reached the peer's system, as of the moment at which the
-     * argument was read.
-     */
+    /** Returns whether written bytes may not have reached the peer's system when the argument was read. */
     public boolean hasUnacknowledgedBytes(UnacknowledgedSends sends) {
-        if (!(sink instanceof SocketChannel socket) || isClosed()) {
-            return !isDrained();
-        }
-        Socket addresses = socket.socket();
-        return !isDrained() || sends.contains((InetSocketAddress) addresses.getLocalSocketAddress(),
-            (InetSocketAddress) addresses.getRemoteSocketAddress());
+        return !isDrained() || sends.contains(sink);
     }
 
     /** Limits, approximately, how many sent bytes the kernel buffers for a slow peer (SO_SNDBUF). */
     public void limitSendBuffer(int bytes) {
-        try {
-            TcpOptions.limitSendBuffer(sink, bytes);
-        } catch (IOException e) {
-            fail();
-        }
+        TcpOptions.limitSendBuffer(sink, bytes);
     }
 
     // ---- closing
@@ -330,10 +316,7 @@
         }
     }
 
-    /**
-     * Closes with a TCP reset, which tells the peer that data it has sent may not have been read, and drops
-     * what the kernel has not sent yet.
-     */
+    /** Closes with a TCP reset, which tells the peer that its data may be unread; unsent data is lost. */
     public void reset() {
         try {
             TcpOptions.resetOnClose(source);
--- a/proxy/src/main/java/spurroad/transport/TcpOptions.java
+++ b/proxy/src/main/java/spurroad/transport/TcpOptions.java
@@ -17,9 +17,13 @@
     }
 
     /** Limits, approximately, how many sent bytes the kernel buffers for a slow peer (SO_SNDBUF). */
-    static void limitSendBuffer(Channel channel, int bytes) throws IOException {
+    static void limitSendBuffer(Channel channel, int bytes) {
         if (channel instanceof SocketChannel socket) {
-            socket.setOption(StandardSocketOptions.SO_SNDBUF, bytes);
+            try {
+                socket.setOption(StandardSocketOptions.SO_SNDBUF, bytes);
+            } catch (IOException e) {
+                // the socket is closed or broken, which its next write reports
+            }
         }
     }
 
--- a/proxy/src/main/java/spurroad/transport/UnacknowledgedSends.java
+++ b/proxy/src/main/java/spurroad/transport/UnacknowledgedSends.java
@@ -3,6 +3,8 @@
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.nio.channels.Channel;
+import java.nio.channels.SocketChannel;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -72,6 +74,13 @@
         return localPort + " " + shortAddress + remote.substring(portAt);
     }
 
+    /** Returns whether a channel is a connection that has unacknowledged bytes. */
+    boolean contains(Channel channel) {
+        return channel instanceof SocketChannel socket
+            && socket.socket().getRemoteSocketAddress() instanceof InetSocketAddress remote
+            && contains((InetSocketAddress) socket.socket().getLocalSocketAddress(), remote);
+    }
+
     /** Returns whether a connection between two addresses has unacknowledged bytes. */
     boolean contains(InetSocketAddress local, InetSocketAddress remote) {
         return connections.contains(key(hexPort(local), hexAddress(remote) + ":" + hexPort(remote)));
--- a/proxy/src/test/java/spurroad/transport/UnacknowledgedSendsTest.java
+++ b/proxy/src/test/java/spurroad/transport/UnacknowledgedSendsTest.java
@@ -17,24 +17,21 @@
 /** Guards against sent bytes that count as delivered because the kernel has taken them. */
 public class UnacknowledgedSendsTest {
     private static final Path MISSING = Path.of("no-such-table");
-    private static final String HEADER = "  sl  local_address rem_address   st tx_queue rx_queue tr tm->when\n";
+    private static final String HEADER = "  sl  local_address rem_address   st tx_queue rx_queue\n";
+    private static final String MAPPED = "0000000000000000FFFF0000"; // an IPv4 address in IPv6
+    private static final String IPV6 = "B80D01200000000000000000"; // 2001:db8::
 
     @DataProvider
     Object[][] connections() throws Exception {
+        InetAddress ipv4 = InetAddress.getByName("127.0.0.2");
         InetAddress ipv6 = InetAddress.getByName("2001:db8::5");
         return new Object[][] {
-            {"0100007F:1F90 0200007F:C350 01 00000001:00000000 00:0", InetAddress.getByName("127.0.0.2"),
-                true},
-            {"0100007F:1F90 0200007F:C350 01 00000000:00000009 00:0", InetAddress.getByName("127.0.0.2"),
-                false},
-            {"0100007F:1F90 0200007F:C351 01 00000001:00000000 00:0", InetAddress.getByName("127.0.0.2"),
-                false},
-            {"0100007F:1F91 0200007F:C350 01 00000001:00000000 00:0", InetAddress.getByName("127.0.0.2"),
-                false},
-            {"0000000000000000FFFF00000100007F:1F90 0000000000000000FFFF00000200007F:C350 01 00000100:00000000 0",
-                InetAddress.getByName("127.0.0.2"), true},
-            {"B80D0120000000000000000001000000:1F90 B80D0120000000000000000005000000:C350 01 00000100:00000000 0",
-                ipv6, true}};
+            {"0100007F:1F90 0200007F:C350 01 00000001:00000000 00:0", ipv4, true},
+            {"0100007F:1F90 0200007F:C350 01 00000000:00000009 00:0", ipv4, false},
+            {"0100007F:1F90 0200007F:C351 01 00000001:00000000 00:0", ipv4, false},
+            {"0100007F:1F91 0200007F:C350 01 00000001:00000000 00:0", ipv4, false},
+            {MAPPED + "0100007F:1F90 " + MAPPED + "0200007F:C350 01 00000100:00000000 0", ipv4, true},
+            {IPV6 + "01000000:1F90 " + IPV6 + "05000000:C350 01 00000100:00000000 0", ipv6, true}};
     }
 
     @Test(dataProvider = "connections")
