--- a/testbed/src/main/java/spurroad/testbed/soak/FakeServer.java
+++ b/testbed/src/main/java/spurroad/testbed/soak/FakeServer.java
@@ -26,9 +26,12 @@
     /** For how long the origin recognizes a repeated write; the proxies' settings state it. */
     static final long DEDUPLICATION_WINDOW_MS = 4_000;
     static final String ORIGIN = "origin";
+    /** Reads of keys with this prefix get a value of nearly the longest ordinary length. */
+    static final String LARGE_KEY_PREFIX = "large";
 
     private static final long NANOS_PER_MILLI = 1_000_000L;
     private static final double HIT_FRACTION = 0.8;
+    private static final String LARGE_VALUE = "x".repeat(64_000);
     private static final long SERVICE_TIME_MS = 2;
     private static final int MAX_SLOW_SERVICE_TIME_MS = 400;
     /** The fraction of requests that run at a server whose responses are lost or wrong. */
@@ -114,16 +117,16 @@
             in.readNBytes(Integer.parseInt(command.group(3)) + 2);
         }
         String id = command.group(4);
-        String success = isWrite ? "HD O" + id + " cr" + id + "\r\n" : readResponse(id);
+        String success = isWrite ? "HD O" + id + " cr" + id + "\r\n" : readResponse(command.group(2), id);
         Responses responses = new Responses(success, "SERVER_ERROR failed\r\n", "SERVER_ERROR busy\r\n");
         respond(socket, responses, new Execution(id, command.group(5)));
     }
 
-    private String readResponse(String id) {
+    private String readResponse(String key, String id) {
         if (nextDouble() >= HIT_FRACTION) {
             return "EN O" + id + "\r\n";
         }
-        String value = "v" + id;
+        String value = key.startsWith(LARGE_KEY_PREFIX) ? LARGE_VALUE : "v" + id;
         return "VA " + value.length() + " O" + id + "\r\n" + value + "\r\n";
     }
 
--- a/testbed/src/main/java/spurroad/testbed/soak/FaultInjector.java
+++ b/testbed/src/main/java/spurroad/testbed/soak/FaultInjector.java
@@ -76,7 +76,9 @@
                 operators.schedule(number, proxy -> proxy.pauseRepeatedly(fault.durationMs()));
             case PROXY_GETS_SIGNALS_IN_SERIES ->
                 operators.schedule(number, proxy -> new SignalSeries(proxy, fault.detail()).send(condition));
-            case CROWD -> Crowd.connect(environment.proxies.get(number).port(), fault);
+            case CROWD ->
+                Crowd.connect(environment.proxies.get(number).port(), settings.limits().descriptors(),
+                    fault);
             case NODE_OUT_BY_HAND -> drainAdministratively(fault);
             case IDLE_CLIENTS -> connectIdleClients(fault);
             default -> injectSystemCallFault(fault);
--- a/testbed/src/main/java/spurroad/testbed/soak/InvariantChecker.java
+++ b/testbed/src/main/java/spurroad/testbed/soak/InvariantChecker.java
@@ -103,8 +103,11 @@
      */
     synchronized void onAttempt(int proxy, String server, String id, long remainingMs) {
         long now = System.nanoTime();
-        SoakRequest request = requestsById.get(id);
         attemptCount++;
+        if (CrowdBehavior.isCrowdRequest(id)) {
+            return; // only its effect on other clients is checked
+        }
+        SoakRequest request = requestsById.get(id);
         if (request == null) {
             addViolation(Invariant.OWN_VALUE,
                 "an attempt at a request that no client sent: " + id + " at " + server);
--- a/testbed/src/main/java/spurroad/testbed/soak/ProxyHost.java
+++ b/testbed/src/main/java/spurroad/testbed/soak/ProxyHost.java
@@ -334,6 +334,12 @@
         }
     }
 
+    /** Returns whether the process that was started last is alive. */
+    boolean isRunning() {
+        RunningProxy process = current;
+        return process != null && process.isAlive();
+    }
+
     /** Checks that the process is alive and within its limits; to be called several times a second. */
     void checkProcess() {
         RunningProxy process = current;
--- a/testbed/src/main/java/spurroad/testbed/soak/ResourceLimits.java
+++ b/testbed/src/main/java/spurroad/testbed/soak/ResourceLimits.java
@@ -9,13 +9,15 @@
 
     private final String proxyName;
     private final int maxDescriptors;
+    private final int maxMemoryMb;
     private final InvariantChecker checker;
 
     ResourceLimits(String proxyName, SoakSettings settings, InvariantChecker checker) {
         this.proxyName = proxyName;
         this.checker = checker;
         maxDescriptors = settings.planted() == PlantedFault.LOW_LIMIT ? PLANTED_MAX_DESCRIPTORS
-            : SoakSettings.MAX_DESCRIPTORS;
+            : settings.limits().descriptors();
+        maxMemoryMb = settings.limits().memoryMb();
     }
 
     /** Reports what exceeds its limit; a process that has ended exceeds none. */
@@ -26,8 +28,9 @@
                 proxyName + " holds " + descriptors + " descriptors of " + maxDescriptors);
         }
         double memoryMb = ProcessUsage.memoryMb(pid);
-        if (memoryMb > SoakSettings.MAX_MEMORY_MB) {
-            checker.addViolation(Invariant.WITHIN_LIMITS, proxyName + " holds " + memoryMb + " MB");
+        if (memoryMb > maxMemoryMb) {
+            checker.addViolation(Invariant.WITHIN_LIMITS,
+                proxyName + " holds " + memoryMb + " MB of " + maxMemoryMb);
         }
     }
 }
--- a/testbed/src/main/java/spurroad/testbed/soak/SoakSettings.java
+++ b/testbed/src/main/java/spurroad/testbed/soak/SoakSettings.java
@@ -8,10 +8,19 @@
  * @param proxies the number of proxies, each of which is one process, or two during a hot restart
  * @param nodes the number of cache nodes
  * @param planted the violation that is planted
+ * @param limits the limits of each proxy, for all of its processes together
  */
-public record SoakSettings(long seed, int seconds, int proxies, int nodes, PlantedFault planted) {
-    static final int MAX_DESCRIPTORS = 256;
-    static final int MAX_MEMORY_MB = 192;
+public record SoakSettings(long seed, int seconds, int proxies, int nodes, PlantedFault planted,
+                           Limits limits) {
+    /**
+     * What the processes of a proxy may hold.
+     *
+     * @param memoryMb resident memory in MiB
+     * @param descriptors the number of open file descriptors
+     */
+    public record Limits(int memoryMb, int descriptors) {}
+
+    static final Limits DEFAULT_LIMITS = new Limits(192, 256);
     static final int MIN_TIMEOUT_MS = 150;
     static final int MAX_TIMEOUT_MS = 1_500;
     /** A process that was told to end may be killed 0.7 s after the longest timeout. */
@@ -22,6 +31,11 @@
     static final long PAUSE_MS = 150;
     private static final int MICROS_PER_MILLI = 1_000;
 
+    /** Creates settings with the default limits. */
+    public SoakSettings(long seed, int seconds, int proxies, int nodes, PlantedFault planted) {
+        this(seed, seconds, proxies, nodes, planted, DEFAULT_LIMITS);
+    }
+
     /** Returns whether discovery pushes changes to proxies, which depends on the seed. */
     private boolean isDiscoveryPushed() {
         return seed % 2 == 0;
@@ -42,8 +56,8 @@
     String configuration(int proxy, int port, int discoveryPort, String endpointList) {
         return ("{'name':'p-" + proxy + "','listen':'127.0.0.1:" + port + "','discovery':'127.0.0.1:"
             + discoveryPort + "','seed':'" + Long.toHexString(seed * 1_000 + proxy + 1)
-            + "','limits':{'cores':1.0,'memory_mb':" + MAX_MEMORY_MB + ",'sockets':" + MAX_DESCRIPTORS
-            + "},'known':KNOWN,'settings':" + deploymentSettings() + "}")
+            + "','limits':{'cores':1.0,'memory_mb':" + limits.memoryMb + ",'sockets':"
+            + limits.descriptors + "},'known':KNOWN,'settings':" + deploymentSettings() + "}")
             .replace('\'', '"').replace("KNOWN", endpointList);
     }
 
