Hold no more of a client's input than is reserved: read ahead in chunks

Cause: ReadAheadBuffer reserved memory for the bytes that were buffered, but kept them in one array, which grew with each read and stayed as large until the last byte was parsed. As commands were taken, the reservation was released and the next connection reserved the same bytes once more. 440 connections so held 38 MB where 4 MB and 8 KiB each were planned. Clients whose commands are rejected show it best: each rejection pauses the connection for 0.1 s, in which its input is read ahead to find its end.

Now further input is kept in chunks of 8 KiB, each allocated when it is reserved and dropped when it is released; the parser gets at most one chunk. A value is taken from the buffered chunks in place, where each write of a series copied all that was read ahead. The same class on the way: an arrival time was kept for each byte of a client that sends byte by byte, 98 KiB for a line of 2 KiB; bytes of one incomplete command share one now, and no more than 64 are kept.

ArrivalTimes lost earliest(), which only the copying needed; its test checks the same through take().

--- a/proxy/src/main/java/spurroad/protocol/ByteSource.java
+++ b/proxy/src/main/java/spurroad/protocol/ByteSource.java
@@ -150,6 +150,18 @@
         return count;
     }
 
+    /** Returns the buffered bytes without removing them. Must be called between two messages only. */
+    public ByteBuffer peekBuffered() {
+        return ByteBuffer.wrap(buffer, position, limit - position).slice();
+    }
+
+    /** Removes buffered bytes. Must be called between two messages only. */
+    public void skipBuffered(int count) {
+        position += count;
+        releaseEmptyBuffer();
+        startMessage();
+    }
+
     /** Marks the end of the input: no more bytes will be fed. */
     public void endInput() {
         isInputEnded = true;
@@ -165,6 +177,11 @@
         return limit - position;
     }
 
+    /** Returns how many bytes of memory the buffer takes. */
+    public int heldBytes() {
+        return buffer.length;
+    }
+
     /** Returns whether the buffered bytes may hold a complete message, so that parsing is worth a try. */
     public boolean mayHaveMessage() {
         return available() > 0 && (isInputEnded || available() >= messageMinBytes);
--- a/proxy/src/main/java/spurroad/routing/ArrivalTimes.java
+++ b/proxy/src/main/java/spurroad/routing/ArrivalTimes.java
@@ -14,6 +14,8 @@
      * little memory.
      */
     static final long MERGE_WINDOW_NANOS = 5_000_000L;
+    /** Beyond this number arrivals are merged in pairs, however far apart. */
+    static final int MAX_ARRIVALS = 64;
 
     /** Bytes that arrived together, with the time of arrival. */
     private static final class Arrival {
@@ -36,6 +38,26 @@
         } else if (bytes > 0) {
             arrivals.add(new Arrival(atNanos, bytes));
         }
+        if (arrivals.size() > MAX_ARRIVALS) {
+            mergePairs();
+        }
+    }
+
+    /** Merges each two arrivals into the earlier one. */
+    private void mergePairs() {
+        for (int remaining = arrivals.size(); remaining > 0; remaining -= 2) {
+            Arrival earlier = arrivals.poll();
+            if (remaining > 1) {
+                earlier.bytes += arrivals.poll().bytes;
+            }
+            arrivals.add(earlier);
+        }
+    }
+
+    /** Notes that the first bytes, a positive number, will be consumed together. */
+    void mergeFirst(int bytes) {
+        long lastAtNanos = take(bytes);
+        arrivals.addFirst(new Arrival(lastAtNanos, bytes));
     }
 
     /** Consumes the given number of bytes, oldest first, and returns the arrival time of the last of them. */
@@ -52,8 +74,8 @@
         return last.atNanos;
     }
 
-    /** Returns the arrival time of the first byte that was not consumed; requires that there is one. */
-    long earliest() {
-        return arrivals.peek().atNanos;
+    /** Returns how many arrivals are kept. */
+    int count() {
+        return arrivals.size();
     }
 }
--- a/proxy/src/main/java/spurroad/routing/CommandReader.java
+++ b/proxy/src/main/java/spurroad/routing/CommandReader.java
@@ -222,6 +222,9 @@
         } else {
             activity.onNoPartialCommand();
         }
+        if (!upload.isActive()) {
+            connection.setMaxReadBytes(Math.max(MIN_READ_BYTES, buffer.unreservedCapacity()));
+        }
         setReading(takesCommands || owner.discardsInput());
     }
 
@@ -269,28 +272,52 @@
     private void continueUpload() {
         activity.onRead(loop.now()); // the client could not send until now
         setReading(true);
-        if (!buffer.isEmpty()) {
-            long arrivedAtNanos = buffer.earliestArrivalNanos();
-            ByteBuffer bytes = ByteBuffer.wrap(buffer.takeAll());
-            buffer.releaseUnneeded();
-            onUploadBytes(bytes, arrivedAtNanos);
+        boolean needsBytes = true;
+        while (needsBytes && !buffer.isEmpty()) {
+            needsBytes = takeBufferedValueBytes();
+        }
+    }
+
+    /** Takes the first buffered bytes of the value; returns whether the value needs more bytes. */
+    private boolean takeBufferedValueBytes() {
+        ByteBuffer bytes = buffer.peek();
+        int available = bytes.remaining();
+        UploadBuffer.Progress progress = receiveValueBytes(bytes);
+        if (progress == null) {
+            return false;
         }
+        long arrivedAtNanos = buffer.skip(available - bytes.remaining());
+        onUploadProgress(progress, arrivedAtNanos);
+        return progress == UploadBuffer.Progress.BYTES_NEEDED;
     }
 
     private void onUploadBytes(ByteBuffer bytes, long arrivedAtNanos) {
-        if (upload.isWaitingForMemory()) {
-            buffer.append(bytes, arrivedAtNanos);
-            return;
+        UploadBuffer.Progress progress = upload.isWaitingForMemory() ? null : receiveValueBytes(bytes);
+        if (bytes.hasRemaining() && !isClosed()) {
+            buffer.append(bytes, arrivedAtNanos); // the rest of the value, or what follows it
+        }
+        if (progress != null) {
+            onUploadProgress(progress, arrivedAtNanos);
         }
+    }
+
+    /** Passes bytes to the value as far as there is memory; returns null if the value was malformed. */
+    private UploadBuffer.Progress receiveValueBytes(ByteBuffer bytes) {
         try {
-            switch (upload.receive(bytes)) {
-                case COMPLETE -> completeUpload(bytes, arrivedAtNanos);
-                case MEMORY_NEEDED -> awaitUploadMemory(bytes, arrivedAtNanos);
-                case BYTES_NEEDED -> connection.setMaxReadBytes(uploadReadBytes());
-            }
+            return upload.receive(bytes);
         } catch (ProtocolException e) {
             endUpload();
             owner.onUploadFailed(e.getMessage());
+            bytes.position(bytes.limit());
+            return null;
+        }
+    }
+
+    private void onUploadProgress(UploadBuffer.Progress progress, long arrivedAtNanos) {
+        switch (progress) {
+            case COMPLETE -> completeUpload(arrivedAtNanos);
+            case MEMORY_NEEDED -> awaitUploadMemory();
+            case BYTES_NEEDED -> connection.setMaxReadBytes(uploadReadBytes());
         }
     }
 
@@ -299,8 +326,7 @@
     }
 
     /** Leaves the rest of the value in the socket until there is memory for it, or the wait is too long. */
-    private void awaitUploadMemory(ByteBuffer rest, long arrivedAtNanos) {
-        buffer.append(rest, arrivedAtNanos);
+    private void awaitUploadMemory() {
         long maxWaitNanos = upload.awaitMemory(loop.now(), this::resumeUpload);
         uploadTimeout = loop.schedule(maxWaitNanos, this::giveUpUpload);
         setReading(false);
@@ -322,11 +348,7 @@
         }
     }
 
-    private void completeUpload(ByteBuffer rest, long arrivedAtNanos) {
-        connection.setMaxReadBytes(ReadAheadBuffer.CHUNK_BYTES);
-        if (rest.hasRemaining()) {
-            buffer.append(rest, arrivedAtNanos);
-        }
+    private void completeUpload(long arrivedAtNanos) {
         MetaCommand command = upload.command();
         if (upload.isDiscarding()) {
             upload.abort();
@@ -353,6 +375,5 @@
             uploadTimeout.cancel();
         }
         upload.abort();
-        connection.setMaxReadBytes(ReadAheadBuffer.CHUNK_BYTES);
     }
 }
--- a/proxy/src/test/java/spurroad/routing/ArrivalTimesTest.java
+++ b/proxy/src/test/java/spurroad/routing/ArrivalTimesTest.java
@@ -17,9 +17,9 @@
         times.onRead(10, 0);
         times.onRead(10, AFTER_MERGE_WINDOW_NANOS);
         assertEquals(times.take(10), 0);
-        assertEquals(times.earliest(), AFTER_MERGE_WINDOW_NANOS);
+        assertEquals(times.take(1), AFTER_MERGE_WINDOW_NANOS);
         times.onRead(10, 2 * AFTER_MERGE_WINDOW_NANOS);
-        assertEquals(times.take(11), 2 * AFTER_MERGE_WINDOW_NANOS);
+        assertEquals(times.take(10), 2 * AFTER_MERGE_WINDOW_NANOS);
         assertEquals(times.take(9), 2 * AFTER_MERGE_WINDOW_NANOS);
     }
 
@@ -32,6 +32,33 @@
         assertEquals(times.take(100), 0);
     }
 
+    /** Guards against a time for each byte of a client that sends byte by byte: a multiple of its input. */
+    @Test
+    public void keepsFewTimesOfManySlowBytes() {
+        ArrivalTimes times = new ArrivalTimes();
+        int bytes = 8_192;
+        for (int i = 0; i < bytes; i++) {
+            times.onRead(1, i * AFTER_MERGE_WINDOW_NANOS);
+            assertTrue(times.count() <= ArrivalTimes.MAX_ARRIVALS, times.count() + " times");
+        }
+        for (int i = 0; i < bytes; i++) {
+            assertTrue(times.take(1) <= i * AFTER_MERGE_WINDOW_NANOS, "later than the byte " + i);
+        }
+        assertEquals(times.count(), 0);
+    }
+
+    @Test
+    public void keepsTimeOfLastByteOfMergedBytes() {
+        ArrivalTimes times = new ArrivalTimes();
+        times.onRead(1, 0);
+        times.onRead(1, AFTER_MERGE_WINDOW_NANOS);
+        times.onRead(2, 2 * AFTER_MERGE_WINDOW_NANOS);
+        times.mergeFirst(3);
+        assertEquals(times.count(), 2);
+        assertEquals(times.take(3), 2 * AFTER_MERGE_WINDOW_NANOS);
+        assertEquals(times.take(1), 2 * AFTER_MERGE_WINDOW_NANOS);
+    }
+
     /**
      * Compares with a list of all bytes: a time is never later than the true one, and earlier by less than
      * the merge window.
