--- a/proxy/src/main/java/spurroad/routing/ReadAheadBuffer.java
+++ b/proxy/src/main/java/spurroad/routing/ReadAheadBuffer.java
@@ -23,7 +23,7 @@
 
     private final MemoryBudget budget;
     private final ByteSource unparsed = new ByteSource(); // the first bytes, at most one chunk
-    private final Deque<ByteBuffer> chunks = new ArrayDeque<>(0); // the bytes after them, each to its position
+    private final Deque<ByteBuffer> chunks = new ArrayDeque<>(0); // the bytes after them
     private final ArrivalTimes arrivals = new ArrivalTimes(); // of all buffered bytes
     private long commandArrivedAtNanos;
     private int chunkOffset; // bytes of the first chunk that were moved to the unparsed bytes
