Divide the heap so that all budgets fit beside connections and endpoints

Cause: the budgets for requests, uploads, read-ahead and replies were each set from the memory limit, 36 MB together, and nothing set them against the heap of 45 MB beside 8 KiB for each of up to 974 connections, garbage, and 3.5 KB for each listed endpoint (measured: 1.9 MB live at rest with 10 endpoints, 13.1 MB with 3,200).

MemoryPlan now reduces all budgets in proportion so that they fit, and MemoryBudgets follows the number of listed endpoints. Budgets for long values keep 4 MiB each. The unreserved start of a connection's input is 4 KiB, which holds any command without a long value; a request reserves 6 KiB and twice its line, which a line of 2 KiB needs, in place of 8 KiB.

A log line, memory scarce, names the budget that is used up: memoryPercent in the report knew only one of four. ReadAheadBufferTest's new row had an invalid command in its own input, mended.

--- a/proxy/src/main/java/spurroad/protocol/CommandLine.java
+++ b/proxy/src/main/java/spurroad/protocol/CommandLine.java
@@ -108,6 +108,10 @@
         return thirdTo - thirdFrom == 1 && line.charAt(thirdFrom) == 'v';
     }
 
+    int length() {
+        return line.length();
+    }
+
     String key() {
         return line.substring(keyFrom, keyTo);
     }
--- a/proxy/src/main/java/spurroad/protocol/MetaCommand.java
+++ b/proxy/src/main/java/spurroad/protocol/MetaCommand.java
@@ -193,6 +193,11 @@
 
     // ---- the line
 
+    /** Returns the length of the line in bytes; zero for a command that is not a request. */
+    public int lineLength() {
+        return line.length();
+    }
+
     /** Returns the key as the client sent it; empty for a command that is not a request. */
     public String key() {
         return line.key();
--- a/proxy/src/main/java/spurroad/routing/ClientConnections.java
+++ b/proxy/src/main/java/spurroad/routing/ClientConnections.java
@@ -23,8 +23,11 @@
  * Used on the event loop only, except where a method says otherwise.
  */
 public final class ClientConnections implements Listener.AcceptHandler {
-    /** Memory that a request without a long value holds while in flight, in bytes: a generous estimate. */
-    static final int REQUEST_MEMORY_BYTES = 8192;
+    /**
+     * Memory that a request holds while in flight, in bytes, apart from its line and its value: a generous
+     * estimate, half of it for a short response.
+     */
+    static final int REQUEST_MEMORY_BYTES = 6144;
     /** Number of connections closed when permits run out, so that they do not run out again immediately. */
     private static final int CLOSED_PER_PERMIT_SHORTAGE = 4;
     /**
@@ -57,6 +60,7 @@
     /** Requests whose final response was not written yet, by request id; ids are unique among them. */
     final Map<String, ProxiedRequest> openRequests = new HashMap<>();
     final AbandonedRequests abandoned = new AbandonedRequests();
+    private final MemoryBudgets memory;
     private final Set<ClientConnection> connections = new LinkedHashSet<>();
     private final DeliveryCheck deliveryCheck;
     private final OutcomeStatistics statistics;
@@ -85,10 +89,10 @@
         rules = loadBalancer.rules();
         events = new ClientEventCounters(log, loop.now());
         configure(start.settings);
-        MemoryPlan memory = MemoryPlan.of(start);
-        requestMemory = new MemoryBudget(memory.requestBytes());
-        uploadMemory = new GrowthBudget(memory.uploadBytes(), loop::execute);
-        readAheadMemory = new MemoryBudget(memory.readAheadBytes());
+        memory = loadBalancer.memory();
+        requestMemory = memory.requests;
+        uploadMemory = memory.uploads;
+        readAheadMemory = memory.readAhead;
         admission = new AdmissionController(start, loop, log, requestMemory, loadBalancer);
         loadBalancer.setAdmissionController(admission);
         loop.execute(this::closeInactive);
@@ -253,6 +257,7 @@
             .filter(connection -> connection.inactivity().isIdleTimeoutExpired(crowded)).toList());
         List.copyOf(connections).forEach(connection -> connection.inactivity().closeIfInactive(crowded));
         events.logIfDue(now());
+        memory.logIfScarce();
         if (!shuttingDown || !connections.isEmpty()) {
             loop.schedule(INACTIVITY_CHECK_INTERVAL_NANOS, this::closeInactive);
         }
--- a/proxy/src/main/java/spurroad/routing/CommandReader.java
+++ b/proxy/src/main/java/spurroad/routing/CommandReader.java
@@ -223,7 +223,7 @@
             activity.onNoPartialCommand();
         }
         if (!upload.isActive()) {
-            connection.setMaxReadBytes(Math.max(MIN_READ_BYTES, buffer.unreservedCapacity()));
+            connection.setMaxReadBytes(owner.discardsInput() ? MAX_READ_BYTES : buffer.unreservedCapacity());
         }
         setReading(takesCommands || owner.discardsInput());
     }
--- a/proxy/src/main/java/spurroad/routing/ControlEvents.java
+++ b/proxy/src/main/java/spurroad/routing/ControlEvents.java
@@ -22,6 +22,7 @@
     private final LoadBalancer balancer;
     private final DecisionExecutor executor;
     private final EndpointRegistry endpoints;
+    private final MemoryBudgets memory;
     private final RequestEvents requestEvents;
     private final RequestCounters counters;
     private final LoopOutbox outbox;
@@ -30,11 +31,13 @@
     private final EventLog log;
 
     ControlEvents(LoadBalancer balancer, DecisionExecutor executor, EndpointRegistry endpoints,
-                  RequestEvents requestEvents, RequestCounters counters, LoopOutbox outbox, Fleet fleet,
+                  MemoryBudgets memory, RequestEvents requestEvents, RequestCounters counters,
+                  LoopOutbox outbox, Fleet fleet,
                   Clock clock, EventLog log) {
         this.balancer = balancer;
         this.executor = executor;
         this.endpoints = endpoints;
+        this.memory = memory;
         this.requestEvents = requestEvents;
         this.counters = counters;
         this.outbox = outbox;
@@ -58,6 +61,8 @@
     /** Handles an endpoint list; discovery's previous line arrived at the given time, Unix nanoseconds. */
     void onEndpointUpdate(EndpointList list, long previousContactNanos) {
         List<Endpoint> listed = endpoints.update(list, previousContactNanos, clock.now());
+        int count = endpoints.size();
+        outbox.add(() -> memory.onEndpointCount(count));
         balancer.onEndpointUpdate(clock.now(), listed, list.isComplete(), executor.cleared());
         executor.execute();
     }
--- a/proxy/src/main/java/spurroad/routing/EndpointRegistry.java
+++ b/proxy/src/main/java/spurroad/routing/EndpointRegistry.java
@@ -49,6 +49,11 @@
         return pools.get(id);
     }
 
+    /** Returns the number of listed endpoints. */
+    int size() {
+        return pools.size();
+    }
+
     /**
      * Applies a list from discovery: adds, updates and removes pools.
      *
--- a/proxy/src/main/java/spurroad/routing/LoadBalancerThread.java
+++ b/proxy/src/main/java/spurroad/routing/LoadBalancerThread.java
@@ -17,7 +17,6 @@
 import spurroad.transport.DescriptorBudget;
 import spurroad.transport.EventLog;
 import spurroad.transport.EventLoop;
-import spurroad.transport.GrowthBudget;
 import spurroad.transport.Mailbox;
 import spurroad.transport.StallDetector;
 import spurroad.transport.Threads;
@@ -54,6 +53,7 @@
     private final Clock clock;
     private final EventLog log;
     private final RuleMonitor rules;
+    private final MemoryBudgets memory;
     private final LoopOutbox outbox;
     private final EndpointRegistry endpoints;
     private final DecisionExecutor executor;
@@ -75,21 +75,23 @@
         this.log = log;
         rules = new RuleMonitor(log);
         outbox = new LoopOutbox(loop);
+        memory = new MemoryBudgets(configuration, loop, log);
         DeploymentSettings settings = configuration.settings;
         LoadBalancer balancer = new LoadBalancer(settings.deployment, configuration.seed);
         InFlightRequests requests = new InFlightRequests();
         RequestCounters counters = new RequestCounters();
         endpoints = new EndpointRegistry(
             new EndpointConnectionPool.Environment(loop, log, rules, descriptors,
-                new GrowthBudget(MemoryPlan.of(configuration).replyBytes(), loop::execute),
-                settings.connectTimeoutNanos, settings.deployment.idleTimeoutNanos(), reuseDelayNanos,
+                memory.replies, settings.connectTimeoutNanos, settings.deployment.idleTimeoutNanos(),
+                reuseDelayNanos,
                 socketFactory, this::onDescriptorShortage, this::onAttemptEnd, statistics::onForwarded),
             outbox, settings);
         executor = new DecisionExecutor(balancer, endpoints, requests, counters, outbox, clock, log, stalls,
             this::onUnroutableProbe, settings);
         requestEvents = new RequestEvents(balancer, executor, requests, counters, outbox, clock, stalls,
             settings);
-        controlEvents = new ControlEvents(balancer, executor, endpoints, requestEvents, counters, outbox,
+        controlEvents = new ControlEvents(balancer, executor, endpoints, memory, requestEvents, counters,
+            outbox,
             settings.deployment.fleet(), clock, log);
         loop.onIterationEnd(this::postFromLoop);
     }
@@ -203,6 +205,11 @@
         return rules;
     }
 
+    /** Returns the memory budgets, which are used on the event loop only. */
+    MemoryBudgets memory() {
+        return memory;
+    }
+
     // ---- called by any thread
 
     private void onUnroutableProbe(EndpointId endpoint) {
--- a/proxy/src/main/java/spurroad/routing/ReadAheadBuffer.java
+++ b/proxy/src/main/java/spurroad/routing/ReadAheadBuffer.java
@@ -14,12 +14,12 @@
  * allocated when it is reserved, and dropped when it is released. Used on the event loop only.
  */
 final class ReadAheadBuffer {
-    /** Bytes that need no reservation; several times the longest command without a long value. */
-    static final int CHUNK_BYTES = 8 * 1024;
+    /** Bytes that need no reservation; more than the longest command without a long value. */
+    static final int CHUNK_BYTES = 4 * 1024;
     /** Maximum length in bytes of a value that is read with its command. */
     static final int MAX_VALUE_BYTES = 1024;
     /** Maximum reserved chunks if the budget allows; the client's disconnect may follow after them. */
-    private static final int MAX_CHUNKS = 127;
+    private static final int MAX_CHUNKS = 255;
 
     private final MemoryBudget budget;
     private final ByteSource unparsed = new ByteSource(); // the first bytes, at most one chunk
--- a/proxy/src/main/java/spurroad/routing/RequestIntake.java
+++ b/proxy/src/main/java/spurroad/routing/RequestIntake.java
@@ -11,6 +11,9 @@
  * on the event loop only.
  */
 final class RequestIntake {
+    /** The request's line is held as it came, and once more as a part of an attempt's message. */
+    private static final int LINE_COPIES = 2;
+
     private final ClientConnections clients;
 
     RequestIntake(ClientConnections clients) {
@@ -45,7 +48,8 @@
             return reject(RejectionReason.SERVICE_LEVEL, clients.admission.rejection());
         }
         boolean isValueShort = command.valueLength() <= MetaCommand.MAX_BUFFERED_VALUE_BYTES;
-        long bytes = ClientConnections.REQUEST_MEMORY_BYTES + (isValueShort ? command.valueLength() : 0);
+        long bytes = ClientConnections.REQUEST_MEMORY_BYTES + LINE_COPIES * command.lineLength()
+            + (isValueShort ? command.valueLength() : 0);
         if (!clients.requestMemory.tryReserve(bytes)) {
             return rejectForMemory(client);
         }
--- a/proxy/src/main/java/spurroad/transport/GrowthBudget.java
+++ b/proxy/src/main/java/spurroad/transport/GrowthBudget.java
@@ -109,8 +109,9 @@
     private final Executor executor;
     private final Set<Reservation> reservations = new LinkedHashSet<>();
     private final Map<Reservation, Growth> waiting = new LinkedHashMap<>(); // the longest waiting first
-    private final long urgentBytes; // what is kept for urgent reservations
-    private long freeBytes;
+    private long totalBytes;
+    private long urgentBytes; // what is kept for urgent reservations
+    private long freeBytes; // negative if more is held than a reduced budget has
     private long unheldBytes; // what all reservations together may still ask for
     private boolean growthScheduled;
 
@@ -120,9 +121,21 @@
      * @param executor runs tasks on the event loop, after the current one
      */
     public GrowthBudget(long bytes, Executor executor) {
+        this.executor = executor;
+        totalBytes = bytes;
         freeBytes = bytes;
         urgentBytes = bytes / URGENT_DIVISOR;
-        this.executor = executor;
+    }
+
+    /**
+     * Changes the number of bytes, which must not be less than the maximum of any reservation. If more are
+     * held, nothing grows until enough are released.
+     */
+    public void resize(long bytes) {
+        freeBytes += bytes - totalBytes;
+        totalBytes = bytes;
+        urgentBytes = bytes / URGENT_DIVISOR;
+        scheduleGrowth();
     }
 
     /** Opens an empty urgent reservation that will grow to the given number of bytes at most. */
@@ -138,6 +151,11 @@
         return opened;
     }
 
+    /** Returns the fraction of the budget that is held; over 1 if the budget was reduced meanwhile. */
+    public double usedFraction() {
+        return 1 - (double) freeBytes / Math.max(1, totalBytes);
+    }
+
     /** Returns how many bytes are not held. */
     public long freeBytes() {
         return freeBytes;
--- a/proxy/src/main/java/spurroad/transport/MemoryBudget.java
+++ b/proxy/src/main/java/spurroad/transport/MemoryBudget.java
@@ -8,14 +8,26 @@
     private static final int UNIT_BYTES = 1024; // reservations are rounded up to multiples of it
 
     private final ResizableSemaphore units;
-    private final int totalUnits;
+    private volatile int totalUnits;
 
     /** Creates a budget of a number of bytes. */
     public MemoryBudget(long bytes) {
-        totalUnits = (int) Math.min(Integer.MAX_VALUE, bytes / UNIT_BYTES);
+        totalUnits = wholeUnits(bytes);
         units = new ResizableSemaphore(totalUnits);
     }
 
+    private static int wholeUnits(long bytes) {
+        return (int) Math.min(Integer.MAX_VALUE, bytes / UNIT_BYTES);
+    }
+
+    /**
+     * Changes the number of bytes. If more are reserved, no reservation succeeds until enough are released.
+     */
+    public void resize(long bytes) {
+        totalUnits = wholeUnits(bytes);
+        units.resize(totalUnits);
+    }
+
     /** Returns the fraction of the budget that is reserved; over 1 if it is overdrawn. */
     public double usedFraction() {
         return 1 - (double) units.availablePermits() / Math.max(1, totalUnits);
--- a/proxy/src/test/java/spurroad/routing/ReadAheadBufferTest.java
+++ b/proxy/src/test/java/spurroad/routing/ReadAheadBufferTest.java
@@ -81,7 +81,7 @@
         StringBuilder lines = new StringBuilder();
         for (int i = 0; i < 500; i++) {
             lines.append("mg k" + i + " v O" + i + " Pc=read,d=" + (100 + i) + ",x="
-                + "y".repeat(random.nextInt(60)) + "\r\n");
+                + "y".repeat(1 + random.nextInt(60)) + "\r\n");
         }
         for (int start = 0; start < lines.length();) {
             int end = Math.min(lines.length(), start + 1 + random.nextInt(3_000));
--- a/proxy/src/test/java/spurroad/transport/GrowthBudgetTest.java
+++ b/proxy/src/test/java/spurroad/transport/GrowthBudgetTest.java
@@ -162,4 +162,21 @@
         urgent.set(true);
         assertTrue(fourth.tryGrow(30));
     }
+
+    /** Guards against a budget that keeps its size while endpoints take more of the heap. */
+    @Test
+    public void grantsNothingWhileReducedBudgetIsExceeded() {
+        GrowthBudget budget = budget(100);
+        GrowthBudget.Reservation first = budget.open(50);
+        GrowthBudget.Reservation second = budget.open(50);
+        assertTrue(first.tryGrow(50));
+        assertTrue(second.tryGrow(20));
+        budget.resize(60);
+        assertFalse(second.tryGrow(1));
+        first.complete();
+        first.release();
+        assertTrue(second.tryGrow(30));
+        budget.resize(100);
+        assertEquals(budget.freeBytes(), 50);
+    }
 }
--- a/proxy/src/test/java/spurroad/transport/MemoryBudgetTest.java
+++ b/proxy/src/test/java/spurroad/transport/MemoryBudgetTest.java
@@ -1,6 +1,8 @@
 package spurroad.transport;
 
 import static org.testng.Assert.assertEquals;
+import static org.testng.Assert.assertFalse;
+import static org.testng.Assert.assertTrue;
 
 import java.util.List;
 import org.testng.annotations.Test;
@@ -18,4 +20,15 @@
         budget.release(20_000);
         assertEquals(List.of(budget.isOverdrawn(), budget.tryReserve(1)), List.of(false, true));
     }
+
+    @Test
+    public void grantsNothingWhileReducedBudgetIsExceeded() {
+        MemoryBudget budget = new MemoryBudget(10 * 1024);
+        assertTrue(budget.tryReserve(8 * 1024));
+        budget.resize(4 * 1024);
+        assertEquals(budget.usedFraction(), 2.0);
+        assertFalse(budget.tryReserve(1));
+        budget.release(8 * 1024);
+        assertTrue(budget.tryReserve(4 * 1024));
+    }
 }
--- a/testbed/src/main/java/spurroad/testbed/soak/FleetList.java
+++ b/testbed/src/main/java/spurroad/testbed/soak/FleetList.java
@@ -41,8 +41,15 @@
 
     /** Creates the list of a number of cache nodes, followed by the origin. */
     FleetList(int nodes) {
-        for (int i = 0; i < nodes; i++) {
-            entries.add(new Entry(nodeName(i), i, false));
+        this(nodes, nodes);
+    }
+
+    /**
+     * Does the same for a list with more entries than there are cache nodes: they share the nodes' addresses.
+     */
+    FleetList(int nodes, int listedNodes) {
+        for (int i = 0; i < listedNodes; i++) {
+            entries.add(new Entry(nodeName(i), i % nodes, false));
         }
         entries.add(new Entry(FakeServer.ORIGIN, nodes, true));
     }
--- a/testbed/src/main/java/spurroad/testbed/soak/SoakEnvironment.java
+++ b/testbed/src/main/java/spurroad/testbed/soak/SoakEnvironment.java
@@ -26,8 +26,14 @@
      * @param folder the folder for logs and configurations
      */
     SoakEnvironment(SoakSettings settings, Path root, Path folder) throws IOException, InterruptedException {
+        this(settings, new FleetList(settings.nodes()), root, folder);
+    }
+
+    /** Does the same with a given endpoint list. */
+    SoakEnvironment(SoakSettings settings, FleetList fleetList, Path root, Path folder)
+        throws IOException, InterruptedException {
         this.settings = settings;
-        fleetList = new FleetList(settings.nodes());
+        this.fleetList = fleetList;
         for (int i = 0; i < settings.nodes(); i++) {
             servers.add(new FakeServer(FleetList.nodeName(i), checker, settings.seed() * 31 + i));
         }
--- a/testbed/src/test/java/spurroad/testbed/soak/ClientCrowdTest.java
+++ b/testbed/src/test/java/spurroad/testbed/soak/ClientCrowdTest.java
@@ -25,6 +25,7 @@
     private static final long SEED = 78;
     private static final long PLAY_MS = 7_000;
     private static final int NODES = 3;
+    private static final int MANY_NODES = 3_200;
     private static final long CHECK_INTERVAL_MS = 50;
     /** A connection may be closed for want of descriptors as long as the crowd's are not. */
     private static final long RECOVERY_MS = 3_000;
@@ -35,20 +36,25 @@
     Object[][] crowds() {
         List<Object[]> rows = new ArrayList<>();
         for (CrowdBehavior behavior : CrowdBehavior.COSTING_MEMORY) {
-            rows.add(new Object[] {List.of(behavior), 128});
+            rows.add(new Object[] {List.of(behavior), 128, NODES});
         }
         for (int memoryMb : new int[] {96, 128, 192, 256}) {
-            rows.add(new Object[] {CrowdBehavior.COSTING_MEMORY, memoryMb});
+            rows.add(new Object[] {CrowdBehavior.COSTING_MEMORY, memoryMb, NODES});
         }
+        rows.add(new Object[] {CrowdBehavior.COSTING_MEMORY, 128, MANY_NODES});
+        rows.add(
+            new Object[] {List.of(CrowdBehavior.READS_SLOWLY, CrowdBehavior.WRITES_AHEAD), 192, MANY_NODES});
         return rows.toArray(Object[][]::new);
     }
 
     /** Guards against input, values and responses of a crowd that exhaust the heap or the memory limit. */
     @Test(dataProvider = "crowds")
-    public void crowdDoesNotExhaustMemory(List<CrowdBehavior> behaviors, int memoryMb) throws Exception {
+    public void crowdDoesNotExhaustMemory(List<CrowdBehavior> behaviors, int memoryMb, int listedNodes)
+        throws Exception {
         SoakSettings settings = new SoakSettings(SEED, 1, 1, NODES, PlantedFault.NONE,
             new SoakSettings.Limits(memoryMb, DESCRIPTORS));
-        SoakEnvironment environment = new SoakEnvironment(settings, ROOT, Files.createTempDirectory("crowd"));
+        SoakEnvironment environment = new SoakEnvironment(settings, new FleetList(NODES, listedNodes),
+            ROOT, Files.createTempDirectory("crowd"));
         ScheduledExecutorService checks = Executors.newSingleThreadScheduledExecutor();
         try {
             ProxyHost proxy = environment.proxies.get(0);
