Close idle connections for want of descriptors with one task, not one for each endpoint

Callers saw: a process that ends by itself with code 70 (load balancer failed: OutOfMemoryError) while a crowd holds the descriptors and discovery lists 3,200 endpoints.

Cause: an attempt that waits for a descriptor asks every 10 ms for idle connections to be closed, and each time a task for each listed endpoint was queued on the event loop. Nothing bounded them.

Now one task closes in all pools, and further calls do nothing until it has run.

--- a/proxy/src/main/java/spurroad/routing/BalancerMessage.java
+++ b/proxy/src/main/java/spurroad/routing/BalancerMessage.java
@@ -123,10 +123,12 @@
     }
 
     /** Closes the given number of idle connections in each pool, because descriptors are short. */
-    record CloseIdlePerPool(EndpointRegistry endpoints, int count) implements BalancerMessage {
+    record CloseIdlePerPool(EndpointRegistry endpoints, int count, Runnable onClosed)
+        implements
+            BalancerMessage {
         @Override
         public void run() {
-            endpoints.closeIdlePerPool(count);
+            endpoints.closeIdlePerPool(count, onClosed);
         }
     }
 
--- a/proxy/src/main/java/spurroad/routing/EndpointRegistry.java
+++ b/proxy/src/main/java/spurroad/routing/EndpointRegistry.java
@@ -150,13 +150,17 @@
         return nowNanos < slowStartEndsAtNanos;
     }
 
-    /** Closes the given number of the longest idle connections in each pool. */
-    void closeIdlePerPool(int count) {
-        pools.values().forEach(pool -> outbox.add(() -> pool.closeLongestIdle(count)));
+    /** Closes the given number of the longest idle connections in each pool, then runs a task on the loop. */
+    void closeIdlePerPool(int count, Runnable onClosed) {
+        List<EndpointConnectionPool> targets = List.copyOf(pools.values());
+        outbox.add(() -> {
+            targets.forEach(pool -> pool.closeLongestIdle(count));
+            onClosed.run();
+        });
     }
 
     /** Closes about the given number of idle connections, spread over the pools. */
     void closeIdle(int count) {
-        closeIdlePerPool((count + pools.size() - 1) / Math.max(1, pools.size()));
+        closeIdlePerPool((count + pools.size() - 1) / Math.max(1, pools.size()), () -> {});
     }
 }
--- a/proxy/src/main/java/spurroad/routing/LoadBalancerThread.java
+++ b/proxy/src/main/java/spurroad/routing/LoadBalancerThread.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
 import spurroad.admission.ServiceLevel;
@@ -59,6 +60,7 @@
     private final DecisionExecutor executor;
     private final RequestEvents requestEvents;
     private final ControlEvents controlEvents;
+    private final AtomicBoolean closingIdle = new AtomicBoolean(); // for want of descriptors
     private boolean shutdown;
 
     /**
@@ -227,9 +229,15 @@
         mailbox.post(new BalancerMessage.PeerUpdateReceived(controlEvents, update, pendingPeerUpdates));
     }
 
-    /** Closes an idle connection in each pool because descriptors are short. */
+    /**
+     * Closes an idle connection in each pool because descriptors are short. Does nothing while an earlier
+     * call has not been carried out: each attempt that waits for a descriptor calls this again and again.
+     */
     void onDescriptorShortage() {
-        mailbox.post(new BalancerMessage.CloseIdlePerPool(endpoints, 1));
+        if (closingIdle.compareAndSet(false, true)) {
+            mailbox.post(
+                new BalancerMessage.CloseIdlePerPool(endpoints, 1, () -> closingIdle.set(false)));
+        }
     }
 
     /** Closes about the given number of idle connections to endpoints. */
