--- a/proxy/src/main/java/spurroad/routing/CommandReader.java
+++ b/proxy/src/main/java/spurroad/routing/CommandReader.java
@@ -223,7 +223,7 @@
             activity.onNoPartialCommand();
         }
         if (!upload.isActive()) {
-            connection.setMaxReadBytes(owner.discardsInput() ? MAX_READ_BYTES : buffer.unreservedCapacity());
+            connection.setMaxReadBytes(owner.discardsInput() ? MAX_READ_BYTES : MIN_READ_BYTES);
         }
         setReading(takesCommands || owner.discardsInput());
     }
--- a/proxy/src/main/java/spurroad/routing/ReadAheadBuffer.java
+++ b/proxy/src/main/java/spurroad/routing/ReadAheadBuffer.java
@@ -70,8 +70,8 @@
 
     /** Returns how many bytes may be appended now; tries to reserve another chunk if no capacity is left. */
     int remainingCapacity() {
-        if (unreservedCapacity() > 0) {
-            return unreservedCapacity();
+        if (chunks.isEmpty() && unparsed.available() < CHUNK_BYTES) {
+            return CHUNK_BYTES - unparsed.available();
         }
         boolean isFull = chunks.isEmpty() || !chunks.peekLast().hasRemaining();
         if (isFull && chunks.size() < MAX_CHUNKS && budget.tryReserve(CHUNK_BYTES)) {
@@ -80,11 +80,6 @@
         return chunks.isEmpty() ? 0 : chunks.peekLast().remaining();
     }
 
-    /** Returns how many bytes may be appended without a reservation. */
-    int unreservedCapacity() {
-        return chunks.isEmpty() ? CHUNK_BYTES - unparsed.available() : 0;
-    }
-
     boolean isEmpty() {
         return unparsed.available() == 0 && !hasBytesInChunks();
     }
@@ -126,6 +121,14 @@
      * @throws IOException if the input can never become a command
      */
     MetaCommand nextCommand() throws IOException {
+        MetaCommand command = parse();
+        while (command == null && isWorthParsing()) {
+            command = parse(); // its end was in a further chunk
+        }
+        return command;
+    }
+
+    private MetaCommand parse() throws IOException {
         int before = unparsed.available();
         MetaCommand command = unparsed.readMessage(in -> MetaCommand.read(in, MAX_VALUE_BYTES));
         if (command != null) {
