Reserve memory for long heads of replies

Now what an endpoint's connection holds beyond 8 KiB of unparsed input is reserved from a budget of 1 MiB; without memory the reply fails as a broken one does.

--- a/proxy/src/main/java/spurroad/routing/EndpointConnection.java
+++ b/proxy/src/main/java/spurroad/routing/EndpointConnection.java
@@ -26,9 +26,13 @@
     /** Bytes of a reply that need no reservation: its head, and a value that is read with it. */
     private static final int UNRESERVED_READ_BYTES = 2 * UpstreamProtocol.MAX_INLINE_VALUE_BYTES;
 
+    /** Bytes of an incomplete head that need no reservation, with those of the read behind them. */
+    private static final int UNRESERVED_HEAD_BYTES = 2 * UNRESERVED_READ_BYTES;
+
     private final EndpointConnectionPool pool;
     private final UpstreamProtocol protocol;
     private final ByteSource input = new ByteSource();
+    private final HeadMemory inputMemory;
     private final ValueReceiver values;
     private final ByteSource.Parser<UpstreamReply> parser = this::parseReply;
     /** The incarnation of the endpoint to which the connection was opened. */
@@ -51,6 +55,7 @@
         this.incarnation = incarnation;
         attempt = first;
         values = new ValueReceiver(this, pool, input);
+        inputMemory = new HeadMemory(pool.replyMemory().heads(), UNRESERVED_HEAD_BYTES);
     }
 
     /** Starts to connect; the attempt is sent once the connection is established. */
@@ -117,6 +122,9 @@
             input.feed(bytes);
             parseReplies();
         }
+        if (!closed && streamedResponse == null && !inputMemory.reserve(input.heldBytes())) {
+            onReplyFailure(new ProtocolException("no memory for a reply's head of " + input.heldBytes()));
+        }
     }
 
     /** Forwards received bytes of the long value without copying them. */
@@ -221,11 +229,13 @@
 
     private void beginBody(UpstreamReply reply) {
         if (reply.unsizedBody() != null) {
-            values.begin(new UnsizedValue(pool.replyMemory(), reply), STREAM_STALL_NANOS);
+            values.begin(new UnsizedValue(pool.replyMemory().values(), reply), STREAM_STALL_NANOS);
         } else if (reply.streamedBody().length() <= MetaCommand.MAX_BUFFERED_VALUE_BYTES) {
-            values.begin(new SizedValue(pool.replyMemory(), reply, attempt.request), REPLY_STALL_NANOS);
+            values.begin(new SizedValue(pool.replyMemory().values(), reply, attempt.request),
+                REPLY_STALL_NANOS);
         } else if (attempt.request.hasCommandsBehind() || !attempt.request.isNextResponse()) {
-            values.hold(new HeldValue(pool.replyMemory(), reply, attempt.request), STREAM_STALL_NANOS);
+            values.hold(new HeldValue(pool.replyMemory().values(), reply, attempt.request),
+                STREAM_STALL_NANOS);
         } else {
             beginStream(reply, new StreamedResponse(this, reply.streamedBody()));
         }
@@ -300,6 +310,7 @@
     /** Ends the long value that was being received, if there is one. */
     private void failValue() {
         values.release();
+        inputMemory.release();
         if (streamedResponse != null) {
             StreamedResponse broken = streamedResponse;
             streamedResponse = null;
--- a/proxy/src/main/java/spurroad/routing/EndpointConnectionPool.java
+++ b/proxy/src/main/java/spurroad/routing/EndpointConnectionPool.java
@@ -13,7 +13,6 @@
 import spurroad.transport.DescriptorBudget;
 import spurroad.transport.EventLog;
 import spurroad.transport.EventLoop;
-import spurroad.transport.GrowthBudget;
 
 /**
  * A pool of connections to one endpoint, a cache node or the origin. It executes attempts and ends each
@@ -24,7 +23,7 @@
     /**
      * The settings and services that all pools share.
      *
-     * @param replyMemory memory of values that are received completely before they are forwarded
+     * @param replyMemory memory of what is received of replies before it is forwarded
      * @param connectTimeoutNanos maximum time to connect, and for an attempt to wait for a descriptor
      * @param idleTimeoutNanos time after which an endpoint closes an idle connection
      * @param reuseDelayNanos how long a connection stays unused after a reply, so that a surplus reply is
@@ -34,7 +33,8 @@
      * @param onForwarded called for each request that was sent in full
      */
     record Environment(EventLoop loop, EventLog log, RuleMonitor rules, DescriptorBudget descriptors,
-                       GrowthBudget replyMemory, long connectTimeoutNanos, long idleTimeoutNanos,
+                       ReplyMemory replyMemory, long connectTimeoutNanos,
+                       long idleTimeoutNanos,
                        long reuseDelayNanos,
                        SocketFactory socketFactory, Runnable requestIdleClose, AttemptListener listener,
                        Runnable onForwarded) {}
@@ -343,8 +343,8 @@
         end(attempt, withoutReply(Outcome.CANCELLED));
     }
 
-    /** Returns the memory of values that are received completely before they are forwarded. */
-    GrowthBudget replyMemory() {
+    /** Returns the memory of what is received of replies before it is forwarded. */
+    ReplyMemory replyMemory() {
         return environment.replyMemory;
     }
 
--- a/proxy/src/main/java/spurroad/routing/LoadBalancerThread.java
+++ b/proxy/src/main/java/spurroad/routing/LoadBalancerThread.java
@@ -84,7 +84,8 @@
         RequestCounters counters = new RequestCounters();
         endpoints = new EndpointRegistry(
             new EndpointConnectionPool.Environment(loop, log, rules, descriptors,
-                memory.replies, settings.connectTimeoutNanos, settings.deployment.idleTimeoutNanos(),
+                new ReplyMemory(memory.replies, memory.replyHeads), settings.connectTimeoutNanos,
+                settings.deployment.idleTimeoutNanos(),
                 reuseDelayNanos,
                 socketFactory, this::onDescriptorShortage, this::onAttemptEnd, statistics::onForwarded),
             outbox, settings);
--- a/proxy/src/main/java/spurroad/routing/MemoryBudgets.java
+++ b/proxy/src/main/java/spurroad/routing/MemoryBudgets.java
@@ -22,6 +22,8 @@
     final MemoryBudget readAhead;
     /** For values of replies that are received completely before they are forwarded. */
     final GrowthBudget replies;
+    /** For heads of replies beyond the usual length. */
+    final MemoryBudget replyHeads = new MemoryBudget(MemoryPlan.REPLY_HEAD_BYTES);
     private final ProxyConfiguration configuration;
     private final EventLog log;
     private int plannedEndpoints;
--- a/proxy/src/main/java/spurroad/routing/MemoryPlan.java
+++ b/proxy/src/main/java/spurroad/routing/MemoryPlan.java
@@ -23,6 +23,9 @@
      */
     record Limits(int memoryMb, long heapBytes, int maxOpenRequests, int connections, int endpoints) {}
 
+    /** Budget for heads of replies beyond the usual length. */
+    static final long REPLY_HEAD_BYTES = 1 << 20;
+
     private static final long BYTES_PER_MIB = 1 << 20;
     /** Divisor of the process's memory: the quotient is the budget for requests in flight. */
     private static final int REQUEST_MEMORY_DIVISOR = 8;
@@ -34,7 +37,7 @@
     private static final int READ_AHEAD_DIVISOR = 4;
 
     /** Heap of a process without connections, endpoints and requests, with full connections of operators. */
-    private static final long BASE_BYTES = 6 * BYTES_PER_MIB;
+    private static final long BASE_BYTES = 5 * BYTES_PER_MIB;
     /** Divisor of the heap: the quotient is left to garbage, without which collections never end. */
     private static final int GARBAGE_DIVISOR = 10;
     /** The first chunk of a connection's input, which needs no reservation, and its objects. */
@@ -58,7 +61,8 @@
 
     /** Returns what of the heap no budget counts. */
     static long unplannedBytes(Limits limits) {
-        return BASE_BYTES + limits.heapBytes / GARBAGE_DIVISOR + limits.connections * CONNECTION_BYTES
+        return BASE_BYTES + REPLY_HEAD_BYTES + limits.heapBytes / GARBAGE_DIVISOR
+            + limits.connections * CONNECTION_BYTES
             + limits.endpoints * ENDPOINT_BYTES;
     }
 
--- a/proxy/src/test/java/spurroad/routing/EndpointConnectionPoolTest.java
+++ b/proxy/src/test/java/spurroad/routing/EndpointConnectionPoolTest.java
@@ -42,6 +42,7 @@
 import spurroad.transport.EventLog;
 import spurroad.transport.EventLoop;
 import spurroad.transport.GrowthBudget;
+import spurroad.transport.MemoryBudget;
 import spurroad.transport.Threads;
 
 public class EndpointConnectionPoolTest {
@@ -53,6 +54,7 @@
     private final BlockingQueue<UpstreamReply> ended = new LinkedBlockingQueue<>();
     private final AtomicInteger forwarded = new AtomicInteger();
     private GrowthBudget replyMemory;
+    private MemoryBudget headMemory;
 
     @BeforeClass
     public void start() {
@@ -62,6 +64,7 @@
     @BeforeMethod
     public void renewMemory() {
         replyMemory = new GrowthBudget(MetaCommand.MAX_VALUE_BYTES, loop::execute);
+        headMemory = new MemoryBudget(MetaCommand.MAX_VALUE_BYTES);
         forwarded.set(0);
     }
 
@@ -77,7 +80,8 @@
     private EndpointConnectionPool pool(int port, boolean origin, DescriptorBudget descriptors,
                                         long reuseDelayNanos) {
         return new EndpointConnectionPool(
-            new EndpointConnectionPool.Environment(loop, log, new RuleMonitor(log), descriptors, replyMemory,
+            new EndpointConnectionPool.Environment(loop, log, new RuleMonitor(log), descriptors,
+                new ReplyMemory(replyMemory, headMemory),
                 SHORT_TIMEOUT_NANOS,
                 LONG_TIMEOUT_NANOS,
                 reuseDelayNanos, SocketFactory.TCP,
@@ -179,6 +183,28 @@
         }
     }
 
+    @DataProvider
+    Object[][] longHeads() {
+        return new Object[][] {{4 * 1024, Outcome.CONNECTION_LOST}, {40 * 1024, Outcome.CONNECTION_LOST},
+            {80 * 1024, Outcome.SUCCEEDED}};
+    }
+
+    /** Guards against heads of replies, up to 800 KB on each connection, that no budget counts. */
+    @Test(dataProvider = "longHeads")
+    public void holdsNoMoreOfHeadThanMemoryAllows(int headBytes, Outcome expected) throws Exception {
+        headMemory = new MemoryBudget(headBytes);
+        String headers = ("x: " + "y".repeat(8_000) + "\r\n").repeat(8);
+        try (ScriptedPeers.Peer peer = new ScriptedPeers.Peer(
+            message -> "HTTP/1.1 200 OK\r\n" + headers + "Content-Length: 1\r\n\r\na")) {
+            begin(pool(peer.port, true, new DescriptorBudget(100)), LONG_TIMEOUT_NANOS);
+            assertEquals(outcome(), expected);
+            CountDownLatch released = new CountDownLatch(1);
+            loop.execute(released::countDown); // runs after what ended the attempt
+            released.await();
+            assertEquals(headMemory.usedFraction(), 0.0);
+        }
+    }
+
     @DataProvider
     Object[][] wholeValues() {
         return new Object[][] {{false, 65_536}, {false, 40_000}, {true, 65_536}, {true, 40_000}};
