--- a/testbed/src/main/java/spurroad/testbed/soak/ProxyHost.java
+++ b/testbed/src/main/java/spurroad/testbed/soak/ProxyHost.java
@@ -4,7 +4,10 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
+import java.util.Optional;
+import java.util.stream.Stream;
 
 /**
  * The platform for one proxy: it starts, restarts, replaces, reloads, pauses and kills the proxy's processes,
@@ -348,11 +351,19 @@
         }
         if (process.isAlive()) {
             resourceLimits.check(process.pid());
+            resourceLimits.checkTogether(otherPids(process), process.pid());
         } else if (process != terminated) { // another thread may have terminated the process meanwhile
             checker.addViolation(Invariant.ALIVE, this + " exited by itself");
         }
     }
 
+    /** Returns the ids of the successor that starts, or of the predecessor that ends. */
+    private List<Long> otherPids(RunningProxy process) {
+        return Stream.of(Optional.ofNullable(successor), Optional.ofNullable(terminated))
+            .flatMap(Optional::stream)
+            .filter(other -> other != process && other.isAlive()).map(RunningProxy::pid).distinct().toList();
+    }
+
     /** Kills all processes without exemption; for a planted crash, and at the end of the run. */
     void destroy() {
         for (RunningProxy process : new RunningProxy[] {current, successor}) {
--- a/testbed/src/main/java/spurroad/testbed/soak/ResourceLimits.java
+++ b/testbed/src/main/java/spurroad/testbed/soak/ResourceLimits.java
@@ -1,5 +1,6 @@
 package spurroad.testbed.soak;
 
+import java.util.List;
 import spurroad.testbed.net.ProcessUsage;
 
 /** Checks the resources of a proxy's process against the limits in its configuration. Thread-safe. */
@@ -33,4 +34,16 @@
                 proxyName + " holds " + memoryMb + " MB of " + maxMemoryMb);
         }
     }
+
+    /** Reports if the processes of a proxy that lives beside another one hold too much memory together. */
+    void checkTogether(List<Long> others, long pid) {
+        double memoryMb = Math.max(0, ProcessUsage.memoryMb(pid));
+        for (long other : others) {
+            memoryMb += Math.max(0, ProcessUsage.memoryMb(other));
+        }
+        if (!others.isEmpty() && memoryMb > maxMemoryMb) {
+            checker.addViolation(Invariant.WITHIN_LIMITS, proxyName + " holds " + memoryMb + " MB of "
+                + maxMemoryMb + " in " + (others.size() + 1) + " processes");
+        }
+    }
 }
