--- a/proxy/src/main/java/spurroad/transport/UnacknowledgedSends.java
+++ b/proxy/src/main/java/spurroad/transport/UnacknowledgedSends.java
@@ -1,7 +1,7 @@
 package spurroad.transport;
 
-import java.io.BufferedReader;
 import java.io.IOException;
+import java.io.InputStream;
 import java.net.InetSocketAddress;
 import java.nio.channels.Channel;
 import java.nio.channels.SocketChannel;
@@ -23,10 +23,10 @@
     private static final int LOCAL_ADDRESS_FIELD = 1; // hexadecimal ADDRESS:PORT
     private static final int REMOTE_ADDRESS_FIELD = 2;
     private static final int QUEUES_FIELD = 4; // hexadecimal SEND:RECEIVE
-    private static final int FIELDS_READ = 5;
+    static final int FIELDS_READ = 5;
     private static final int WORD_BYTES = 4;
     private static final int WORD_DIGITS = 2 * WORD_BYTES;
-    private static final String EMPTY_QUEUE = "00000000:";
+    private static final byte[] EMPTY_QUEUE = "00000000:".getBytes(StandardCharsets.US_ASCII);
 
     private final Set<String> connections = new HashSet<>(); // local port, remote address and port
 
@@ -46,22 +46,18 @@
     }
 
     private boolean add(Path socketTable) {
-        try (BufferedReader lines = Files.newBufferedReader(socketTable, StandardCharsets.US_ASCII)) {
-            lines.readLine(); // the header
-            for (String line = lines.readLine(); line != null; line = lines.readLine()) {
-                addLine(line);
-            }
+        try (InputStream table = Files.newInputStream(socketTable)) {
+            new SocketTableReader(table, this::addLine).readLines();
             return true;
         } catch (IOException e) {
             return false;
         }
     }
 
-    private void addLine(String line) {
-        String[] fields = line.strip().split("\\s+", FIELDS_READ + 1);
-        if (fields.length >= FIELDS_READ && !fields[QUEUES_FIELD].startsWith(EMPTY_QUEUE)) {
-            String local = fields[LOCAL_ADDRESS_FIELD];
-            connections.add(key(local.substring(local.indexOf(':') + 1), fields[REMOTE_ADDRESS_FIELD]));
+    private void addLine(SocketTableLine line) {
+        if (!line.startsWith(QUEUES_FIELD, EMPTY_QUEUE)) {
+            String local = line.field(LOCAL_ADDRESS_FIELD);
+            connections.add(key(local.substring(local.indexOf(':') + 1), line.field(REMOTE_ADDRESS_FIELD)));
         }
     }
 
--- a/proxy/src/test/java/spurroad/transport/UnacknowledgedSendsTest.java
+++ b/proxy/src/test/java/spurroad/transport/UnacknowledgedSendsTest.java
@@ -42,6 +42,29 @@
             expected);
     }
 
+    /** Reads may end inside lines, some of which lack fields; the last one lacks its end. */
+    @Test
+    public void findsConnectionsInLongTable() throws Exception {
+        StringBuilder lines = new StringBuilder(HEADER);
+        int connections = 5_000;
+        for (int i = 0; i < connections; i++) {
+            int remotePort = 10_000 + i;
+            lines.append(String.format("%4d: 0100007F:1F90 0200007F:%04X 01 %08X:00000000 00:0 00 0%n", i,
+                remotePort, i % 3));
+            lines.append(i % 100 == 0 ? "cut off\n" : "");
+        }
+        lines.append("9999: 0100007F:1F90 0200007F:FFFF 01 00000001:00000000");
+        Path table = Files.writeString(Files.createTempFile("tcp", ""), lines);
+        UnacknowledgedSends sends = UnacknowledgedSends.read(table, MISSING).orElseThrow();
+        InetAddress remote = InetAddress.getByName("127.0.0.2");
+        for (int i = 0; i < connections; i++) {
+            assertEquals(
+                sends.contains(new InetSocketAddress(8080), new InetSocketAddress(remote, 10_000 + i)),
+                i % 3 != 0, "connection " + i);
+        }
+        assertTrue(sends.contains(new InetSocketAddress(8080), new InetSocketAddress(remote, 65_535)));
+    }
+
     @Test
     public void isEmptyWithoutTables() {
         assertEquals(UnacknowledgedSends.read(MISSING, MISSING), Optional.empty());
