HeldValue and UnsizedValue share what both do with their pieces

Both handed free bytes, the wait for memory and the release on to ValuePieces alike, and wrapped the pieces into a BufferedResponse alike. PieceValue does that once; nothing else changes.

--- a/proxy/src/main/java/spurroad/routing/HeldValue.java
+++ b/proxy/src/main/java/spurroad/routing/HeldValue.java
@@ -10,16 +10,14 @@
  * reserved as needed. If the value breaks off, the request can still get another response. Used on the event
  * loop only.
  */
-final class HeldValue implements IncomingValue {
-    private final UpstreamReply reply;
-    private final ValuePieces pieces;
+final class HeldValue extends PieceValue {
     private long remaining; // bytes of the value still expected
 
     /** Starts to receive the streamed body of the reply to a request. */
     HeldValue(GrowthBudget budget, UpstreamReply reply, ProxiedRequest request) {
-        this.reply = reply;
+        super(reply,
+            new ValuePieces(budget, (int) reply.streamedBody().length(), request::isNextResponse));
         remaining = reply.streamedBody().length();
-        pieces = new ValuePieces(budget, (int) remaining, request::isNextResponse);
     }
 
     @Override
@@ -34,19 +32,9 @@
         return complete ? Progress.COMPLETE : Progress.BYTES_NEEDED;
     }
 
-    @Override
-    public int freeBytes() {
-        return pieces.last().remaining();
-    }
-
-    @Override
-    public void awaitMemory(Runnable onAvailable) {
-        pieces.addLater(onAvailable);
-    }
-
     @Override
     public UpstreamReply complete(UpstreamRequest attempt, boolean connectionReusable) {
-        attempt.longResponse = new BufferedResponse(pieces.complete(), pieces.memory());
+        attempt.longResponse = bufferedResponse();
         return reply.completed(reply.response(), connectionReusable);
     }
 
@@ -57,12 +45,6 @@
 
     /** Returns a response that forwards what was received, and then the rest as it arrives. */
     StreamedResponse streamedResponse(EndpointConnection connection) {
-        return new StreamedResponse(connection, reply.streamedBody(), remaining,
-            new BufferedResponse(pieces.complete(), pieces.memory()));
-    }
-
-    @Override
-    public void release() {
-        pieces.release();
+        return new StreamedResponse(connection, reply.streamedBody(), remaining, bufferedResponse());
     }
 }
--- a/proxy/src/main/java/spurroad/routing/UnsizedValue.java
+++ b/proxy/src/main/java/spurroad/routing/UnsizedValue.java
@@ -13,16 +13,13 @@
  * Receives a value of unknown length completely, because a client is told the length first. Used on the event
  * loop only.
  */
-final class UnsizedValue implements IncomingValue {
-    private final UpstreamReply reply;
-    private final ValuePieces pieces;
+final class UnsizedValue extends PieceValue {
     private final ByteBuffer start; // of the value, not copied into the pieces yet
 
     /** Starts to receive the unsized body of a reply. */
     UnsizedValue(GrowthBudget budget, UpstreamReply reply) {
-        this.reply = reply;
+        super(reply, new ValuePieces(budget, MetaCommand.MAX_VALUE_BYTES));
         start = ByteBuffer.wrap(reply.unsizedBody().start());
-        pieces = new ValuePieces(budget, MetaCommand.MAX_VALUE_BYTES);
     }
 
     @Override
@@ -48,26 +45,11 @@
             : reply.unsizedBody().rest().decode(in, piece);
     }
 
-    @Override
-    public int freeBytes() {
-        return pieces.last().remaining();
-    }
-
-    @Override
-    public void awaitMemory(Runnable onAvailable) {
-        pieces.addLater(onAvailable);
-    }
-
     @Override
     public UpstreamReply complete(UpstreamRequest attempt, boolean connectionReusable) {
-        BufferedResponse response = new BufferedResponse(pieces.complete(), pieces.memory());
+        BufferedResponse response = bufferedResponse();
         attempt.longResponse = response;
         byte[] head = MetaResponse.valueHead(response.valueBytes(), attempt.command().id());
         return reply.completed(head, connectionReusable);
     }
-
-    @Override
-    public void release() {
-        pieces.release();
-    }
 }
