Merge arrival times only where bytes join the parser's; remove what the change left over

ReadAheadBuffer asked ArrivalTimes to merge the first zero bytes when its parser held none, against the method's contract; harmless (a time without bytes, dropped by the next call). The merge now stands where bytes reach the parser. ClientConnection.answer with four arguments was left for a test only, which now passes null itself. The memory scarce line is built only if it is written: the log limits the rate.

--- a/proxy/src/main/java/spurroad/routing/ClientConnection.java
+++ b/proxy/src/main/java/spurroad/routing/ClientConnection.java
@@ -252,13 +252,9 @@
     /**
      * Sends the only final response of a request; the load balancer's thread calls this through the event
      * loop.
+     *
+     * @param memory the memory that is reserved for the response; null if there is none
      */
-    void answer(ProxiedRequest request, byte[] response, OutcomeStatistics.End end,
-                LongResponse streamed) {
-        answer(request, response, end, streamed, null);
-    }
-
-    /** Does the same with the memory that is reserved for the response, or null. */
     void answer(ProxiedRequest request, byte[] response, OutcomeStatistics.End end,
                 LongResponse streamed, GrowthBudget.Reservation memory) {
         responses.respond(request, response, end, streamed, memory);
--- a/proxy/src/main/java/spurroad/routing/MemoryBudgets.java
+++ b/proxy/src/main/java/spurroad/routing/MemoryBudgets.java
@@ -61,7 +61,7 @@
         double mostUsed = Math.max(Math.max(requests.usedFraction(), readAhead.usedFraction()),
             Math.max(uploads.usedFraction(), replies.usedFraction()));
         if (mostUsed >= SCARCE_FRACTION) {
-            log.warn("memory scarce", toString());
+            log.warn("memory scarce", this);
         }
     }
 
--- a/proxy/src/main/java/spurroad/routing/ReadAheadBuffer.java
+++ b/proxy/src/main/java/spurroad/routing/ReadAheadBuffer.java
@@ -38,10 +38,7 @@
     void append(ByteBuffer bytes, long arrivedAtNanos) {
         arrivals.onRead(bytes.remaining(), arrivedAtNanos);
         if (chunks.isEmpty()) {
-            feed(bytes);
-        }
-        if (!unparsed.mayHaveMessage()) {
-            arrivals.mergeFirst(unparsed.available()); // all of them belong to one incomplete command
+            appendUnparsed(bytes);
         }
         while (bytes.hasRemaining()) {
             if (chunks.isEmpty() || !chunks.peekLast().hasRemaining()) {
@@ -55,6 +52,13 @@
         }
     }
 
+    private void appendUnparsed(ByteBuffer bytes) {
+        feed(bytes);
+        if (!unparsed.mayHaveMessage()) {
+            arrivals.mergeFirst(unparsed.available()); // all of them belong to one incomplete command
+        }
+    }
+
     /** Moves as many bytes to the unparsed ones as a chunk holds. */
     private void feed(ByteBuffer bytes) {
         int count = Math.min(bytes.remaining(), CHUNK_BYTES - unparsed.available());
--- a/proxy/src/test/java/spurroad/routing/SlowClientTest.java
+++ b/proxy/src/test/java/spurroad/routing/SlowClientTest.java
@@ -88,7 +88,7 @@
 
     private boolean answer(ProxiedRequest request, int bytes) throws Exception {
         return onLoop(() -> {
-            request.client.answer(request, new byte[bytes], OutcomeStatistics.End.SUCCEEDED, null);
+            request.client.answer(request, new byte[bytes], OutcomeStatistics.End.SUCCEEDED, null, null);
             return true;
         });
     }
